--- /dev/null
+++ b/samphirebend/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering between callers and upstreams."""
