--- /dev/null
+++ b/samphirebend/addresses.py
@@ -0,0 +1,61 @@
+"""Addresses of the form IP:PORT, as settings and manifests write them."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from .jsonfile import Reader
+
+
+class Address:
+    """An IP address and a TCP port."""
+
+    __slots__ = ("ip", "port")
+
+    def __init__(self, ip: str, port: int) -> None:
+        self.ip = ip
+        self.port = port
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, Address)
+            and self.ip == other.ip
+            and self.port == other.port
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.ip, self.port))
+
+
+def parse_address(text: str) -> Address | None:
+    """Return the address in a text, or None if it is not IP:PORT.
+
+    >>> str(parse_address("127.0.0.1:80"))
+    '127.0.0.1:80'
+    >>> parse_address("localhost:80") is None
+    True
+    >>> parse_address("127.0.0.1:0") is None
+    True
+    """
+    ip, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(ip)
+        number = int(port)
+    except ValueError:
+        return None
+    return Address(ip, number) if 0 < number < 65536 else None
+
+
+def read_address(reader: Reader, field: str) -> Address:
+    """Read an address field; record a fault if it is not IP:PORT."""
+    before = len(reader.faults)
+    text = reader.text(field)
+    address = parse_address(text)
+    if address is None:
+        if len(reader.faults) == before:
+            reader.fault(field, "an IPv4 address and port", text)
+        return Address("0.0.0.0", 1)
+    return address
--- /dev/null
+++ b/samphirebend/manifest.py
@@ -0,0 +1,396 @@
+"""The manifest: operators' single source of intent, checked whole before use.
+
+`read_manifest` turns a committed text into a `Manifest` or the list of all its
+faults. A manifest never changes once read; `spread` decides which version is
+in force, and `shards` and `limits` derive each host's parts from it. The
+version number is not part of the text: the table service assigns it when the
+text is accepted.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from result import Err, Ok, Result
+
+from .addresses import Address, read_address
+from .jsonfile import Fault, Reader, parse
+
+FORMAT: Final = 1
+MAX_MANIFEST_BYTES: Final = 16 * 1024 * 1024
+MAX_NAME_LENGTH: Final = 63
+MAX_SLOTS: Final = 10_000
+MAX_CONNECTIONS: Final = 100_000
+MAX_MBIT_PER_S: Final = 10_000_000
+MEASURES: Final = ("headroom", "latency")
+
+
+class Region:
+    """A region with its cap on requests in flight and its failure domains."""
+
+    __slots__ = ("failure_domains", "max_in_flight", "name")
+
+    def __init__(
+        self, name: str, max_in_flight: int, failure_domains: list[str]
+    ) -> None:
+        self.name = name
+        self.max_in_flight = max_in_flight  # requests over all its upstreams
+        self.failure_domains = failure_domains
+
+
+class Link:
+    """The link between two regions; the rate holds for each direction."""
+
+    __slots__ = ("delay_ms", "mbit_per_s", "regions")
+
+    def __init__(self, regions: tuple[str, str], mbit_per_s: int, delay_ms: int):
+        self.regions = regions
+        self.mbit_per_s = mbit_per_s
+        self.delay_ms = delay_ms
+
+
+class Host:
+    """A configured entry host with its four addresses."""
+
+    __slots__ = ("admin", "entry", "failure_domain", "name", "peer", "region", "relay")
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        failure_domain: str,
+        entry: Address,
+        relay: Address,
+        peer: Address,
+        admin: Address,
+    ) -> None:
+        self.name = name
+        self.region = region
+        self.failure_domain = failure_domain
+        self.entry = entry  # for callers
+        self.relay = relay  # for requests passed on by other hosts
+        self.peer = peer  # for control messages
+        self.admin = admin  # for operators
+
+
+class Upstream:
+    """One upstream of a service with its limits."""
+
+    __slots__ = (
+        "address",
+        "connections",
+        "failure_domain",
+        "name",
+        "region",
+        "service",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        region: str,
+        failure_domain: str,
+        address: Address,
+        slots: int,
+        connections: int,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.region = region
+        self.failure_domain = failure_domain
+        self.address = address
+        self.slots = slots  # requests in flight
+        self.connections = connections  # open connections
+
+
+class Service:
+    """A service with its rules and upstreams."""
+
+    __slots__ = ("idempotent", "max_body_bytes", "name", "timeout_s", "upstreams")
+
+    def __init__(
+        self,
+        name: str,
+        idempotent: bool,
+        timeout_s: float,
+        max_body_bytes: int,
+        upstreams: list[Upstream],
+    ) -> None:
+        self.name = name
+        self.idempotent = idempotent  # false: each request runs at most once
+        self.timeout_s = timeout_s  # longest time of one dispatch
+        self.max_body_bytes = max_body_bytes
+        self.upstreams = upstreams
+
+
+class CallerBlock:
+    """An IPv4 block of callers and the region that they belong to."""
+
+    __slots__ = ("prefix", "region")
+
+    def __init__(self, prefix: str, region: str) -> None:
+        self.prefix = prefix
+        self.region = region
+
+
+class Manifest:
+    """A checked manifest with look-up tables by name."""
+
+    __slots__ = (
+        "caller_blocks",
+        "hosts",
+        "links",
+        "measure",
+        "organisation",
+        "regions",
+        "services",
+        "upstreams",
+    )
+
+    def __init__(
+        self,
+        organisation: str,
+        measure: str,
+        regions: list[Region],
+        links: list[Link],
+        hosts: list[Host],
+        services: list[Service],
+        caller_blocks: list[CallerBlock],
+    ) -> None:
+        self.organisation = organisation
+        self.measure = measure  # what the user weighs most, one of MEASURES
+        self.regions = {region.name: region for region in regions}
+        self.links = {frozenset(link.regions): link for link in links}
+        self.hosts = {host.name: host for host in hosts}
+        self.services = {service.name: service for service in services}
+        self.upstreams = {
+            upstream.name: upstream
+            for service in services
+            for upstream in service.upstreams
+        }
+        self.caller_blocks = caller_blocks
+
+    def hosts_of(self, region: str) -> list[str]:
+        """Return the names of a region's configured hosts, sorted."""
+        return sorted(h.name for h in self.hosts.values() if h.region == region)
+
+    def link(self, region: str, other: str) -> Link | None:
+        """Return the link between two regions, or None."""
+        return self.links.get(frozenset((region, other)))
+
+
+def read_manifest(text: str) -> Result[Manifest, list[Fault]]:
+    """Check the whole text; return the manifest or all its faults."""
+    parsed = parse(text, MAX_MANIFEST_BYTES)
+    if isinstance(parsed, Err):
+        return Err([parsed.err_value])
+    return check_manifest(parsed.ok_value)
+
+
+def check_manifest(data: object) -> Result[Manifest, list[Fault]]:
+    """Check parsed JSON; return the manifest or all its faults."""
+    faults: list[Fault] = []
+    reader = Reader(data, "", faults)
+    reader.integer("format", FORMAT, FORMAT)
+    organisation = reader.text("organisation", max_length=MAX_NAME_LENGTH)
+    measure = reader.choice("measure", MEASURES)
+    regions = _read_regions(reader)
+    domains = {name: r.name for r in regions for name in r.failure_domains}
+    links = _read_links(reader, {region.name for region in regions})
+    hosts = _read_hosts(reader, domains)
+    services = _read_services(reader, domains)
+    blocks = _read_blocks(reader, {region.name for region in regions})
+    reader.finish()
+    manifest = Manifest(organisation, measure, regions, links, hosts, services, blocks)
+    _check_whole(reader, manifest)
+    return Err(faults) if faults else Ok(manifest)
+
+
+class _Names:
+    """Finds names that are used twice within one list."""
+
+    __slots__ = ("_seen", "_what")
+
+    def __init__(self, what: str) -> None:
+        self._what = what
+        self._seen: set[str] = set()
+
+    def read(self, reader: Reader) -> str:
+        """Read the field `name` and record a fault if it was used before."""
+        name = reader.text("name", max_length=MAX_NAME_LENGTH)
+        if name and name in self._seen:
+            reader.fault("name", f"a {self._what} name used once", name)
+        self._seen.add(name)
+        return name
+
+
+def _read_regions(reader: Reader) -> list[Region]:
+    names = _Names("region")
+    seen_domains: set[str] = set()
+    regions = []
+    for item in reader.objects("regions"):
+        region = Region(
+            names.read(item),
+            item.integer("max_in_flight", 1, MAX_SLOTS * 100),
+            item.texts("failure_domains"),
+        )
+        if not region.failure_domains:
+            item.fault("failure_domains", "at least one failure domain", "none")
+        for index, domain in enumerate(region.failure_domains):
+            if domain in seen_domains:
+                path = f"failure_domains[{index}]"
+                item.fault(path, "a failure domain name used once", domain)
+            seen_domains.add(domain)
+        item.finish()
+        regions.append(region)
+    if not regions:
+        reader.fault("regions", "at least one region", "none")
+    return regions
+
+
+def _read_links(reader: Reader, regions: set[str]) -> list[Link]:
+    seen: set[frozenset[str]] = set()
+    links = []
+    for item in reader.objects("links", []):
+        between = item.texts("between")
+        if len(set(between)) != 2 or len(between) != 2:
+            item.fault("between", "two different regions", ", ".join(between))
+            between = ["", ""]
+        for index, name in enumerate(between):
+            if name and name not in regions:
+                item.fault(f"between[{index}]", "a region of this manifest", name)
+        pair = frozenset(between)
+        if pair in seen and "" not in pair:
+            item.fault("between", "one link for each pair", " and ".join(between))
+        seen.add(pair)
+        rate = item.integer("mbit_per_s", 1, MAX_MBIT_PER_S)
+        links.append(
+            Link((between[0], between[1]), rate, item.integer("delay_ms", 0, 10_000))
+        )
+        item.finish()
+    return links
+
+
+def _read_domain(item: Reader, domains: dict[str, str]) -> tuple[str, str]:
+    name = item.text("failure_domain", max_length=MAX_NAME_LENGTH)
+    if name and name not in domains:
+        item.fault("failure_domain", "a failure domain of some region", name)
+    return name, domains.get(name, "")
+
+
+def _read_hosts(reader: Reader, domains: dict[str, str]) -> list[Host]:
+    names = _Names("host")
+    used: set[Address] = set()
+    hosts = []
+    for item in reader.objects("hosts"):
+        domain, region = _read_domain(item, domains)
+        addresses = []
+        for field in ("entry", "relay", "peer", "admin"):
+            address = read_address(item, field)
+            if address in used and address.port != 1:
+                item.fault(field, "an address used once", str(address))
+            used.add(address)
+            addresses.append(address)
+        hosts.append(Host(names.read(item), region, domain, *addresses))
+        item.finish()
+    if not hosts:
+        reader.fault("hosts", "at least one host", "none")
+    return hosts
+
+
+def _read_services(reader: Reader, domains: dict[str, str]) -> list[Service]:
+    names = _Names("service")
+    upstream_names = _Names("upstream")
+    used: set[Address] = set()
+    services = []
+    for item in reader.objects("services"):
+        name = names.read(item)
+        if "/" in name or "?" in name:
+            item.fault("name", "a name without / or ?", name)
+        idempotent = item.flag("idempotent")
+        timeout_ms = item.integer("timeout_ms", 10, 3_600_000)
+        max_body = item.integer("max_body_bytes", 0, 1 << 40)
+        upstreams = []
+        for entry in item.objects("upstreams"):
+            upstream = _read_upstream(entry, name, domains, upstream_names)
+            if upstream.address in used and upstream.address.port != 1:
+                entry.fault("address", "an address used once", str(upstream.address))
+            used.add(upstream.address)
+            upstreams.append(upstream)
+        if not upstreams:
+            item.fault("upstreams", "at least one upstream", "none")
+        item.finish()
+        services.append(
+            Service(name, idempotent, timeout_ms / 1000, max_body, upstreams)
+        )
+    if not services:
+        reader.fault("services", "at least one service", "none")
+    return services
+
+
+def _read_upstream(
+    entry: Reader, service: str, domains: dict[str, str], names: _Names
+) -> Upstream:
+    domain, region = _read_domain(entry, domains)
+    slots = entry.integer("slots", 0, MAX_SLOTS)
+    connections = entry.integer("connections", 1, MAX_CONNECTIONS)
+    if connections < slots:
+        entry.fault("connections", f"at least its {slots} slots", connections)
+    upstream = Upstream(
+        names.read(entry),
+        service,
+        region,
+        domain,
+        read_address(entry, "address"),
+        slots,
+        connections,
+    )
+    entry.finish()
+    return upstream
+
+
+def _read_blocks(reader: Reader, regions: set[str]) -> list[CallerBlock]:
+    blocks = []
+    for item in reader.objects("caller_blocks", []):
+        block = CallerBlock(item.text("prefix"), item.text("region"))
+        if not _is_prefix(block.prefix):
+            item.fault("prefix", "an IPv4 prefix such as 10.1.0.0/16", block.prefix)
+        if block.region and block.region not in regions:
+            item.fault("region", "a region of this manifest", block.region)
+        item.finish()
+        blocks.append(block)
+    return blocks
+
+
+def _is_prefix(text: str) -> bool:
+    """Tell whether a text is an IPv4 prefix with no host bits set.
+
+    >>> _is_prefix("10.1.0.0/16"), _is_prefix("10.1.0.1/16"), _is_prefix("x/8")
+    (True, False, False)
+    """
+    base, slash, length = text.partition("/")
+    parts = base.split(".")
+    if not slash or not length.isdecimal() or len(parts) != 4:
+        return False
+    if not all(part.isdecimal() and int(part) < 256 for part in parts):
+        return False
+    bits = int(length)
+    value = int.from_bytes(bytes(int(part) for part in parts), "big")
+    return bits <= 32 and value & ((1 << (32 - bits)) - 1) == 0
+
+
+def _check_whole(reader: Reader, manifest: Manifest) -> None:
+    """Record faults that only show when all parts are seen together."""
+    names = sorted(manifest.regions)
+    for index, region in enumerate(names):
+        for other in names[index + 1 :]:
+            if region and other and manifest.link(region, other) is None:
+                reader.fault("links", f"a link between {region} and {other}", "none")
+    served = {upstream.region for upstream in manifest.upstreams.values()}
+    for region in sorted(served - {host.region for host in manifest.hosts.values()}):
+        if region:
+            reader.fault(
+                "hosts", f"a host in region {region}, which has upstreams", "none"
+            )
--- /dev/null
+++ b/samphirebend/wire.py
@@ -0,0 +1,342 @@
+"""Typed messages between daemons and their encoding with Cap'n Proto.
+
+`peers` carries the bytes over TCP with a length prefix; this module only
+converts. A message of an unknown kind decodes to None and is ignored, so that
+daemons of neighbouring versions can talk to each other.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from pathlib import Path
+from typing import Any, Final
+
+import capnp
+
+# The loader needs a real file system path, and import hooks would run on any
+# module whose name ends in _capnp.
+capnp.remove_import_hook()
+_SCHEMA: Final[Any] = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+
+# Bounds the words that a hostile message may make the decoder traverse.
+TRAVERSAL_LIMIT_WORDS: Final = 8 * 1024 * 1024
+
+
+class ShardLease:
+    """A shard with the generation of its lease."""
+
+    __slots__ = ("generation", "name")
+
+    def __init__(self, name: str, generation: int) -> None:
+        self.name = name
+        self.generation = generation
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, ShardLease)
+            and self.name == other.name
+            and self.generation == other.generation
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.name, self.generation))
+
+    def __repr__(self) -> str:
+        return f"ShardLease({self.name!r}, {self.generation})"
+
+
+class ServiceLoad:
+    """Free and total slots of one service at one host."""
+
+    __slots__ = ("free", "service", "total")
+
+    def __init__(self, service: str, free: int, total: int) -> None:
+        self.service = service
+        self.free = free
+        self.total = total
+
+
+class Suspect:
+    """A request fingerprint and the number of upstreams it has crashed."""
+
+    __slots__ = ("crashes", "fingerprint")
+
+    def __init__(self, fingerprint: int, crashes: int) -> None:
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+
+
+class Heartbeat:
+    """Periodic report of a host to its peers."""
+
+    __slots__ = (
+        "drained_version",
+        "host",
+        "incarnation",
+        "key_epoch",
+        "leaving",
+        "loads",
+        "manifest_version",
+        "sequence",
+        "shards",
+        "stopping",
+        "suspects",
+        "table_age_ms",
+    )
+
+    def __init__(self, host: str, incarnation: int, sequence: int) -> None:
+        self.host = host
+        self.incarnation = incarnation  # random, drawn at process start
+        self.sequence = sequence
+        self.manifest_version = 0
+        # Highest version that is applied with no request in flight beyond
+        # the limits of that version.
+        self.drained_version = 0
+        self.key_epoch = 0
+        self.stopping = False
+        self.shards: list[ShardLease] = []  # leases that the sender holds
+        self.loads: list[ServiceLoad] = []
+        self.leaving: list[str] = []  # names of upstreams that are leaving
+        self.suspects: list[Suspect] = []
+        self.table_age_ms = 0  # time since the last answer of the table
+
+
+class HeartbeatReply:
+    """Answer to a heartbeat, with the leases that the witness extends."""
+
+    __slots__ = (
+        "grants",
+        "host",
+        "incarnation",
+        "key_epoch",
+        "manifest_version",
+        "sequence",
+    )
+
+    def __init__(self, host: str, incarnation: int, sequence: int) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.sequence = sequence  # of the heartbeat that is answered
+        self.manifest_version = 0
+        self.grants: list[ShardLease] = []
+        self.key_epoch = 0
+
+
+class ReleaseRequest:
+    """Asks a witness to release a lease that it no longer extends."""
+
+    __slots__ = ("candidate", "generation", "shard")
+
+    def __init__(self, shard: str, generation: int, candidate: str) -> None:
+        self.shard = shard
+        self.generation = generation
+        self.candidate = candidate  # host that wants to take over
+
+
+class ReleaseReply:
+    """The witness's vote on a release."""
+
+    __slots__ = ("generation", "granted", "host", "shard")
+
+    def __init__(self, shard: str, generation: int, granted: bool, host: str) -> None:
+        self.shard = shard
+        self.generation = generation
+        self.granted = granted
+        self.host = host  # the witness
+
+
+class ManifestRequest:
+    """Asks a peer for a manifest version."""
+
+    __slots__ = ("version",)
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+
+
+class ManifestReply:
+    """A manifest version; the body is the deflated text, empty if unknown."""
+
+    __slots__ = ("body", "version")
+
+    def __init__(self, version: int, body: bytes) -> None:
+        self.version = version
+        self.body = body
+
+
+Message = (
+    Heartbeat
+    | HeartbeatReply
+    | ReleaseRequest
+    | ReleaseReply
+    | ManifestRequest
+    | ManifestReply
+)
+
+
+@singledispatch
+def encode(message: object) -> bytes:
+    """Return the bytes of a message."""
+    raise TypeError(f"{type(message).__name__} is not a message")
+
+
+def _pack(kind: str, fields: dict[str, Any]) -> bytes:
+    packed: bytes = _SCHEMA.Envelope.new_message(**{kind: fields}).to_bytes()
+    return packed
+
+
+def _pack_leases(leases: list[ShardLease]) -> list[dict[str, Any]]:
+    return [{"name": item.name, "generation": item.generation} for item in leases]
+
+
+@encode.register
+def _(message: Heartbeat) -> bytes:
+    return _pack(
+        "heartbeat",
+        {
+            "host": message.host,
+            "incarnation": message.incarnation,
+            "sequence": message.sequence,
+            "manifestVersion": message.manifest_version,
+            "drainedVersion": message.drained_version,
+            "keyEpoch": message.key_epoch,
+            "stopping": message.stopping,
+            "shards": _pack_leases(message.shards),
+            "loads": [
+                {"service": load.service, "free": load.free, "total": load.total}
+                for load in message.loads
+            ],
+            "leaving": message.leaving,
+            "suspects": [
+                {"fingerprint": item.fingerprint, "crashes": item.crashes}
+                for item in message.suspects
+            ],
+            "tableAgeMs": message.table_age_ms,
+        },
+    )
+
+
+@encode.register
+def _(message: HeartbeatReply) -> bytes:
+    return _pack(
+        "heartbeatReply",
+        {
+            "host": message.host,
+            "incarnation": message.incarnation,
+            "sequence": message.sequence,
+            "manifestVersion": message.manifest_version,
+            "grants": _pack_leases(message.grants),
+            "keyEpoch": message.key_epoch,
+        },
+    )
+
+
+@encode.register
+def _(message: ReleaseRequest) -> bytes:
+    return _pack(
+        "releaseRequest",
+        {
+            "shard": message.shard,
+            "generation": message.generation,
+            "candidate": message.candidate,
+        },
+    )
+
+
+@encode.register
+def _(message: ReleaseReply) -> bytes:
+    return _pack(
+        "releaseReply",
+        {
+            "shard": message.shard,
+            "generation": message.generation,
+            "granted": message.granted,
+            "host": message.host,
+        },
+    )
+
+
+@encode.register
+def _(message: ManifestRequest) -> bytes:
+    return _pack("manifestRequest", {"version": message.version})
+
+
+@encode.register
+def _(message: ManifestReply) -> bytes:
+    return _pack("manifestReply", {"version": message.version, "body": message.body})
+
+
+def decode(data: bytes) -> Message | None:
+    """Return the message in the bytes; None if malformed or of an unknown kind.
+
+    >>> message = decode(encode(ManifestRequest(7)))
+    >>> message.version
+    7
+    >>> decode(b"junk") is None
+    True
+    """
+    try:
+        with _SCHEMA.Envelope.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as envelope:
+            reader = _READERS.get(str(envelope.which()))
+            return reader(envelope) if reader else None
+    except (capnp.KjException, ValueError):
+        return None
+
+
+def _leases(items: Any) -> list[ShardLease]:
+    return [ShardLease(item.name, item.generation) for item in items]
+
+
+def _read_heartbeat(envelope: Any) -> Heartbeat:
+    raw = envelope.heartbeat
+    message = Heartbeat(raw.host, raw.incarnation, raw.sequence)
+    message.manifest_version = raw.manifestVersion
+    message.drained_version = raw.drainedVersion
+    message.key_epoch = raw.keyEpoch
+    message.stopping = raw.stopping
+    message.shards = _leases(raw.shards)
+    message.loads = [ServiceLoad(x.service, x.free, x.total) for x in raw.loads]
+    message.leaving = [str(name) for name in raw.leaving]
+    message.suspects = [Suspect(x.fingerprint, x.crashes) for x in raw.suspects]
+    message.table_age_ms = raw.tableAgeMs
+    return message
+
+
+def _read_heartbeat_reply(envelope: Any) -> HeartbeatReply:
+    raw = envelope.heartbeatReply
+    message = HeartbeatReply(raw.host, raw.incarnation, raw.sequence)
+    message.manifest_version = raw.manifestVersion
+    message.grants = _leases(raw.grants)
+    message.key_epoch = raw.keyEpoch
+    return message
+
+
+def _read_release_request(envelope: Any) -> ReleaseRequest:
+    raw = envelope.releaseRequest
+    return ReleaseRequest(raw.shard, raw.generation, raw.candidate)
+
+
+def _read_release_reply(envelope: Any) -> ReleaseReply:
+    raw = envelope.releaseReply
+    return ReleaseReply(raw.shard, raw.generation, raw.granted, raw.host)
+
+
+def _read_manifest_request(envelope: Any) -> ManifestRequest:
+    return ManifestRequest(envelope.manifestRequest.version)
+
+
+def _read_manifest_reply(envelope: Any) -> ManifestReply:
+    raw = envelope.manifestReply
+    return ManifestReply(raw.version, bytes(raw.body))
+
+
+_READERS: Final[dict[str, Any]] = {
+    "heartbeat": _read_heartbeat,
+    "heartbeatReply": _read_heartbeat_reply,
+    "releaseRequest": _read_release_request,
+    "releaseReply": _read_release_reply,
+    "manifestRequest": _read_manifest_request,
+    "manifestReply": _read_manifest_reply,
+}
