--- /dev/null
+++ b/samphirebend/exchange.py
@@ -0,0 +1,325 @@
+"""One exchange with an upstream or with another host's relay.
+
+Sends a request over a client connection, streams a large upload from the
+caller, collects the answer or streams it on, and checks that the answer is
+whole and belongs to the request. `dispatch` decides where an exchange goes
+and what a failure means.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+from collections.abc import Callable
+from typing import Any, Final
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from .errorcodes import ErrorKind
+from .httpclient import ClientConnection, ResponseHead
+from .httpserver import Headers, ServerRequest
+from .ledger import KeptAnswer
+
+# Answers up to this size are checked whole before the caller gets a byte.
+HELD_ANSWER_BYTES: Final = 256 * 1024
+HOP_HEADERS: Final = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+# Returns the seconds to wait before bytes of the given number may be sent.
+Pacer = Callable[[int], float]
+
+
+class StreamedAnswer:
+    """An answer whose bytes went to the caller as they came."""
+
+    __slots__ = ("status",)
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+
+
+Received = Result[KeptAnswer | StreamedAnswer, ErrorKind]
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that are passed on.
+
+    >>> end_to_end([(b"connection", b"close"), (b"accept", b"*/*")])
+    [(b'accept', b'*/*')]
+    """
+    return [item for item in headers if item[0] not in HOP_HEADERS]
+
+
+class DigestCheck:
+    """Checks a body against the sha-256 of a Content-Digest header (RFC 9530)."""
+
+    __slots__ = ("_expected", "_hash")
+
+    def __init__(self, header: bytes | None) -> None:
+        self._expected: bytes | None = None
+        self._hash = hashlib.sha256()
+        for item in (header or b"").split(b","):
+            name, _, value = item.strip().partition(b"=:")
+            if name == b"sha-256" and value.endswith(b":"):
+                self._expected = value[:-1]
+
+    def update(self, data: bytes) -> None:
+        """Add a part of the body."""
+        if self._expected is not None:
+            self._hash.update(data)
+
+    def matches(self) -> bool:
+        """Tell whether the body is whole; true if there is no digest."""
+        if self._expected is None:
+            return True
+        return base64.b64encode(self._hash.digest()) == self._expected
+
+
+class FlowGate:
+    """Pauses a source while at least one reason to do so holds."""
+
+    __slots__ = ("_pause", "_reasons", "_resume")
+
+    def __init__(self, pause: Callable[[], None], resume: Callable[[], None]) -> None:
+        self._pause = pause
+        self._resume = resume
+        self._reasons: set[str] = set()
+
+    def hold(self, reason: str) -> None:
+        """Add a reason; the first one pauses the source."""
+        if not self._reasons:
+            self._pause()
+        self._reasons.add(reason)
+
+    def release(self, reason: str) -> None:
+        """Remove a reason; the last one resumes the source."""
+        if reason in self._reasons:
+            self._reasons.remove(reason)
+            if not self._reasons:
+                self._resume()
+
+
+class PacedWriter:
+    """Passes data on, each part no sooner than its pacer allows."""
+
+    __slots__ = ("_call_later", "_delayed", "_pacer", "_write", "gate")
+
+    def __init__(
+        self,
+        write: Callable[[bytes], None],
+        gate: FlowGate,
+        pacer: Pacer | None,
+        call_later: Callable[..., Any],
+    ) -> None:
+        self._write = write
+        self.gate = gate  # of the source
+        self._pacer = pacer
+        self._call_later = call_later
+        self._delayed: list[bytes | Callable[[], None]] = []
+
+    def write(self, data: bytes) -> None:
+        """Write the data now, or later while the source is paused."""
+        if self._delayed:
+            self._delayed.append(data)
+            return
+        wait_s = self._pacer(len(data)) if self._pacer is not None else 0.0
+        if wait_s <= 0:
+            self._write(data)
+            return
+        self._delayed.append(data)
+        self.gate.hold("pace")
+        self._call_later(wait_s, self._flush)
+
+    def after_writes(self, action: Callable[[], None]) -> None:
+        """Run the action once all data is written."""
+        if self._delayed:
+            self._delayed.append(action)
+        else:
+            action()
+
+    def _flush(self) -> None:
+        first = self._delayed.pop(0)
+        if isinstance(first, bytes):
+            self._write(first)
+        delayed, self._delayed = self._delayed, []
+        for item in delayed:
+            if isinstance(item, bytes):
+                self.write(item)
+            else:
+                self.after_writes(item)
+        if not self._delayed:
+            self.gate.release("pace")
+
+
+class AnswerReceiver:
+    """Collects an answer and checks it; streams it on when it is large."""
+
+    __slots__ = (
+        "_conn",
+        "_digest",
+        "_expected_id",
+        "_last",
+        "_make_headers",
+        "_parts",
+        "_req",
+        "_size",
+        "_streaming",
+        "_writer",
+        "head_seen",
+        "result",
+    )
+
+    def __init__(
+        self,
+        conn: ClientConnection,
+        request_id: str,
+        req: ServerRequest,
+        make_headers: Callable[[ResponseHead], Headers],
+        writer: PacedWriter,
+    ) -> None:
+        self._conn = conn
+        self._expected_id = request_id.encode("latin-1")
+        self._req = req  # gets a large answer as a stream
+        self._make_headers = make_headers  # headers of a streamed answer
+        self._writer = writer  # towards the caller
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._streaming = False
+        self._last = b""  # held back until the digest is checked
+        self._digest = DigestCheck(None)
+        self.head_seen: ResponseHead | None = None
+        self.result: Deferred[Received] = Deferred()
+
+    @property
+    def streaming(self) -> bool:
+        """Tell whether the caller already got a part of the answer."""
+        return self._streaming
+
+    def head(self, head: ResponseHead) -> None:
+        """Take the head; an answer to another request ends the exchange."""
+        echoed = head.header.get(b"request-id")
+        if echoed is not None and echoed != self._expected_id:
+            self._conn.cancel()
+            self.fail(ErrorKind.WRONG_ANSWER)
+            return
+        self.head_seen = head
+        self._digest = DigestCheck(head.header.get(b"content-digest"))
+
+    def write(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._digest.update(data)
+        if self._streaming:
+            self._stream(data)
+            return
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size > HELD_ANSWER_BYTES:
+            self._start_streaming(self._req)
+
+    def end(self) -> None:
+        """Finish the answer; a wrong digest counts as truncation."""
+        if self.result.called or self.head_seen is None:
+            return
+        if not self._digest.matches():
+            self.fail(ErrorKind.ANSWER_TRUNCATED)
+            return
+        head = self.head_seen
+        if not self._streaming:
+            answer = KeptAnswer(head.status, head.headers, b"".join(self._parts))
+            self.result.callback(Ok(answer))
+            return
+        self._writer.write(self._last)
+        self._writer.after_writes(lambda: self._finish_stream(head.status))
+
+    def fail(self, kind: ErrorKind) -> None:
+        """End the exchange with a failure; break off a half-sent answer."""
+        if self.result.called:
+            return
+        if self._streaming:
+            self._req.abort()
+        self.result.callback(Err(kind))
+
+    def _start_streaming(self, req: ServerRequest) -> None:
+        assert self.head_seen is not None
+        self._streaming = True
+        gate = self._writer.gate
+        req.on_pause = lambda: gate.hold("socket")
+        req.on_resume = lambda: gate.release("socket")
+        req.start(self.head_seen.status, self._make_headers(self.head_seen))
+        parts, self._parts = self._parts, []
+        self._stream(b"".join(parts))
+
+    def _stream(self, data: bytes) -> None:
+        if self._last:
+            self._writer.write(self._last)
+        self._last = data
+
+    def _finish_stream(self, status: int) -> None:
+        self._req.finish()
+        if not self.result.called:
+            self.result.callback(Ok(StreamedAnswer(status)))
+
+
+class UploadPipe:
+    """Streams a caller's body into a client connection."""
+
+    __slots__ = ("_conn", "_on_fail", "_req", "_writer")
+
+    def __init__(
+        self,
+        req: ServerRequest,
+        conn: ClientConnection,
+        pacer: Pacer | None,
+        call_later: Callable[..., Any],
+        on_fail: Callable[[ErrorKind], None],
+    ) -> None:
+        self._req = req
+        self._conn = conn
+        self._on_fail = on_fail  # called when the caller goes away
+        gate = FlowGate(req.pause_body, req.resume_body)
+        self._writer = PacedWriter(conn.write_body, gate, pacer, call_later)
+
+    def start(self) -> None:
+        """Begin to take the body."""
+        self._conn.watch_writes(self)
+        self._req.receive(self)
+
+    def write(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+        self._writer.write(data)
+
+    def end(self) -> None:
+        """Pass on the end of the body."""
+        self._writer.after_writes(self._end_body)
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Break the exchange off, since the body will never be whole."""
+        self._conn.cancel()
+        self._on_fail(kind)
+
+    def _end_body(self) -> None:
+        self._conn.unwatch_writes()
+        self._conn.end_body()
+
+    # Interface of a Twisted push producer: the upstream's socket is full.
+
+    def pauseProducing(self) -> None:
+        self._writer.gate.hold("socket")
+
+    def resumeProducing(self) -> None:
+        self._writer.gate.release("socket")
+
+    def stopProducing(self) -> None:
+        """Do nothing: the connection reports its own end."""
--- /dev/null
+++ b/samphirebend/httpclient.py
@@ -0,0 +1,307 @@
+"""HTTP/1.1 client connections to upstreams and to the relays of other hosts.
+
+A connection carries one exchange at a time. It records whether the write of
+the request began, which decides whether a caller may be told that the request
+did not run. A connection whose exchange did not end with a whole answer is
+closed and never used again, so a late answer cannot reach another request.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final, Protocol as TypingProtocol
+
+import h11
+from result import Err, Ok, Result
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from .addresses import Address
+from .errorcodes import ErrorKind
+from .httpserver import Headers
+
+CONNECT_TIMEOUT_S: Final = 1.0
+# An upstream may close an idle connection at any time; a short stay in the
+# pool makes it unlikely that a request is written to a connection being closed.
+MAX_IDLE_S: Final = 5.0
+MAX_HEADER_BYTES: Final = 32 * 1024
+
+
+class ResponseHead:
+    """Status and headers of an answer; header names are in lower case."""
+
+    __slots__ = ("header", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+        self.header: dict[bytes, bytes] = dict(headers)
+
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the end of the body can be told from a cut."""
+        return (
+            b"content-length" in self.header
+            or b"transfer-encoding" in self.header
+            or self.status in (204, 304)
+        )
+
+
+class ResponseSink(TypingProtocol):
+    """Receives an answer; exactly one of `end` and `fail` comes last."""
+
+    def head(self, head: ResponseHead) -> None: ...
+
+    def write(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def fail(self, kind: ErrorKind) -> None: ...
+
+
+class ClientConnection(Protocol):
+    """One connection to an upstream or a relay."""
+
+    def __init__(self, pool: _BoundPool) -> None:
+        self._pool = pool
+        self._h11 = self._make_parser()
+        self._sink: ResponseSink | None = None
+        self._head_request = False
+        self.idle_since = 0.0
+        self.open = False
+        self.write_began = False  # of the current exchange
+        self.answer_began = False
+
+    @staticmethod
+    def _make_parser() -> h11.Connection:
+        return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+    def connectionMade(self) -> None:
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.open = False
+        self._pool.forget(self)
+        if self._sink is None:
+            return
+        if not self.answer_began:
+            self._fail(ErrorKind.UPSTREAM_BROKEN)
+            return
+        # The end of the stream ends no framed body: h11 raises, or stays
+        # without an end of message.
+        self._fail(ErrorKind.ANSWER_TRUNCATED)
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes | None,
+        sink: ResponseSink,
+    ) -> None:
+        """Write a request; with body None the caller streams the body next."""
+        self._sink = sink
+        self.answer_began = False
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._h11.send(head)
+        if body is not None:
+            if body:
+                data += self._h11.send(h11.Data(data=body))
+            data += self._h11.send(h11.EndOfMessage())
+        self.write_began = True
+        self.transport.write(data)
+
+    def write_body(self, data: bytes) -> None:
+        """Write a part of a streamed body."""
+        if self.open and self._h11.our_state is h11.SEND_BODY:
+            self.transport.write(self._h11.send(h11.Data(data=data)))
+
+    def end_body(self) -> None:
+        """End a streamed body."""
+        if self.open and self._h11.our_state is h11.SEND_BODY:
+            self.transport.write(self._h11.send(h11.EndOfMessage()))
+            self._check_done()
+
+    def cancel(self) -> None:
+        """Give the exchange up and close the connection; the sink hears no more."""
+        self._sink = None
+        self._close()
+
+    def pause(self) -> None:
+        """Stop reading the answer."""
+        if self.open:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Continue to read the answer."""
+        if self.open:
+            self.transport.resumeProducing()
+
+    def watch_writes(self, producer: Any) -> None:
+        """Tell a push producer when to pause and resume the request's body."""
+        if self.open:
+            self.transport.registerProducer(producer, True)
+
+    def unwatch_writes(self) -> None:
+        """Forget the push producer."""
+        if self.open:
+            self.transport.unregisterProducer()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._sink is None:
+            # Bytes that belong to no exchange would be taken for the answer
+            # to the next request.
+            self._close()
+            return
+        try:
+            self._h11.receive_data(data)
+            while self._step():
+                pass
+        except h11.RemoteProtocolError:
+            kind = (
+                ErrorKind.ANSWER_TRUNCATED
+                if self.answer_began
+                else ErrorKind.UPSTREAM_BROKEN
+            )
+            self._fail(kind)
+
+    def _step(self) -> bool:
+        if self._sink is None:
+            return False
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            self.answer_began = True
+            head = ResponseHead(event.status_code, list(event.headers))
+            if not head.is_framed:
+                self._fail(ErrorKind.ANSWER_TRUNCATED)
+                return False
+            self._sink.head(head)
+        elif isinstance(event, h11.Data):
+            self._sink.write(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish()
+        return not isinstance(event, h11.ConnectionClosed)
+
+    def _finish(self) -> None:
+        sink, self._sink = self._sink, None
+        self._check_done()
+        if sink is not None:
+            sink.end()
+
+    def _check_done(self) -> None:
+        """Return the connection to the pool if both directions are done."""
+        if self._sink is not None:
+            return
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+            self.write_began = False
+            self._pool.put_back(self)
+        else:
+            self._close()
+
+    def _fail(self, kind: ErrorKind) -> None:
+        sink, self._sink = self._sink, None
+        self._close()
+        if sink is not None:
+            sink.fail(kind)
+
+    def _close(self) -> None:
+        if self.open:
+            self.open = False
+            self.transport.abortConnection()
+        self._pool.forget(self)
+
+
+class ConnectionPool:
+    """Idle connections by address; opens new ones when none is idle."""
+
+    __slots__ = ("_clock", "_idle", "_reactor", "opened")
+
+    def __init__(self, reactor: Any, clock: Callable[[], float]) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._idle: dict[Address, deque[ClientConnection]] = {}
+        self.opened = 0  # connections opened since the start
+
+    async def acquire(self, address: Address) -> Result[ClientConnection, ErrorKind]:
+        """Return a connection for one exchange, or CONNECT_FAILED."""
+        conn = self._take_idle(address)
+        if conn is not None:
+            return Ok(conn)
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, address.ip, address.port, CONNECT_TIMEOUT_S
+        )
+        factory = _ClientFactory(_BoundPool(self, address))
+        try:
+            opened: ClientConnection = await endpoint.connect(factory)
+        except Exception:
+            return Err(ErrorKind.CONNECT_FAILED)
+        self.opened += 1
+        return Ok(opened)
+
+    def _take_idle(self, address: Address) -> ClientConnection | None:
+        idle = self._idle.get(address)
+        oldest_allowed = self._clock() - MAX_IDLE_S
+        while idle:
+            conn = idle.pop()
+            if conn.open and conn.idle_since >= oldest_allowed:
+                return conn
+            conn.cancel()
+        return None
+
+    def add_idle(self, address: Address, conn: ClientConnection) -> None:
+        """Keep a connection for the next exchange with its address."""
+        conn.idle_since = self._clock()
+        idle = self._idle.setdefault(address, deque())
+        idle.append(conn)
+        while idle and idle[0].idle_since < conn.idle_since - MAX_IDLE_S:
+            idle.popleft().cancel()
+
+    def drop_idle(self, address: Address, conn: ClientConnection) -> None:
+        """Forget a connection that was closed."""
+        idle = self._idle.get(address)
+        if idle is not None and conn in idle:
+            idle.remove(conn)
+
+    def close_idle(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for conn in self._idle.pop(address, deque()):
+            conn.cancel()
+
+    def close_all(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.close_idle(address)
+
+
+class _BoundPool:
+    """The pool as one connection sees it, bound to the connection's address."""
+
+    __slots__ = ("_address", "_pool")
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self._address = address
+
+    def put_back(self, conn: ClientConnection) -> None:
+        self._pool.add_idle(self._address, conn)
+
+    def forget(self, conn: ClientConnection) -> None:
+        self._pool.drop_idle(self._address, conn)
+
+
+class _ClientFactory(Factory):
+    """Builds client connections for one address."""
+
+    noisy = False
+
+    def __init__(self, pool: _BoundPool) -> None:
+        self._pool = pool
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        return ClientConnection(self._pool)
--- /dev/null
+++ b/samphirebend/httpserver.py
@@ -0,0 +1,457 @@
+"""HTTP/1.1 server connections of the request path, with streamed bodies.
+
+Parses with h11 over Twisted transports. Request bodies are handed to a sink
+as they arrive and are never stored on disk; a sink that pauses stops the
+reading from the socket. Each connection carries one request at a time. The
+module knows nothing of services or routing: `entry` passes a handler in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final, Protocol as TypingProtocol
+
+import h11
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.protocols.policies import TimeoutMixin
+from twisted.python.failure import Failure
+
+from .addresses import Address
+from .errorcodes import ErrorKind
+
+Headers = list[tuple[bytes, bytes]]
+
+IDLE_TIMEOUT_S: Final = 60.0
+# An answer that is sent before the body was read is lost if the connection is
+# closed with unread bytes, so the rest of the body is read and dropped first.
+DISCARD_TIMEOUT_S: Final = 1.0
+MAX_HEADER_BYTES: Final = 32 * 1024
+
+
+class BodySink(TypingProtocol):
+    """Receives a body in parts."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def end(self) -> None: ...
+
+    def fail(self, kind: ErrorKind) -> None: ...
+
+
+class ServerRequest:
+    """One request of a caller, and the means to answer it."""
+
+    __slots__ = (
+        "_conn",
+        "_paused",
+        "_sink",
+        "_streaming",
+        "answered",
+        "closed",
+        "content_length",
+        "ended",
+        "header",
+        "headers",
+        "method",
+        "on_closed",
+        "on_pause",
+        "on_resume",
+        "peer_ip",
+        "target",
+    )
+
+    def __init__(self, conn: HttpServerProtocol, event: h11.Request, ip: str) -> None:
+        self._conn = conn
+        self._sink: BodySink | None = None
+        self._paused = False  # the sink asked to stop the flow
+        self._streaming = False  # registered as producer of the transport
+        self.method = event.method.decode("ascii")
+        self.target = event.target.decode("latin-1")  # path with query
+        self.headers: Headers = [(name, value) for name, value in event.headers]
+        self.header: dict[bytes, bytes] = dict(self.headers)
+        self.peer_ip = ip
+        length = self.header.get(b"content-length")
+        self.content_length: int | None = int(length) if length else None
+        self.ended = False  # the whole body was received
+        self.answered = False  # an answer was begun
+        self.closed = False  # the caller's connection is gone
+        self.on_closed: Callable[[], None] | None = None
+        self.on_pause: Callable[[], None] | None = None  # answer's flow control
+        self.on_resume: Callable[[], None] | None = None
+
+    def text(self, name: bytes) -> str | None:
+        """Return a header's value by its lower-case name, or None."""
+        value = self.header.get(name)
+        return None if value is None else value.decode("latin-1")
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether the request announces a body."""
+        return bool(self.content_length) or b"transfer-encoding" in self.header
+
+    def receive(self, sink: BodySink) -> None:
+        """Deliver the body to a sink, from its first byte on."""
+        self._sink = sink
+        if self.closed and not self.ended:
+            sink.fail(ErrorKind.CALLER_GONE)
+        elif self.ended:
+            sink.end()
+        else:
+            self._conn.advance()
+
+    def read_all(self, max_bytes: int) -> Deferred[bytes | ErrorKind]:
+        """Collect the body; the result is BODY_TOO_LARGE beyond the limit."""
+        collector = _Collector(max_bytes)
+        self.receive(collector)
+        return collector.result
+
+    def pause_body(self) -> None:
+        """Stop delivery to the sink."""
+        self._paused = True
+
+    def resume_body(self) -> None:
+        """Continue delivery to the sink."""
+        if self._paused:
+            self._paused = False
+            self._conn.advance()
+
+    @property
+    def holding(self) -> bool:
+        """Tell whether body bytes must wait before they are parsed."""
+        return not self.ended and (self._sink is None or self._paused)
+
+    def deliver(self, data: bytes) -> None:
+        """Pass body bytes to the sink."""
+        if self._sink is not None:
+            self._sink.write(data)
+
+    def finish_body(self) -> None:
+        """Note the end of the body and tell the sink."""
+        self.ended = True
+        if self._sink is not None:
+            self._sink.end()
+
+    def lose(self) -> None:
+        """Note that the caller's connection is gone."""
+        self.closed = True
+        if not self.ended and self._sink is not None:
+            self._sink.fail(ErrorKind.CALLER_GONE)
+        if self.on_closed is not None:
+            self.on_closed()
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if self.closed:
+            return
+        self.answered = True
+        length = (b"Content-Length", str(len(body)).encode())
+        self._conn.send_whole(self, status, [*headers, length], body)
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows by `write`."""
+        if self.closed:
+            return
+        self.answered = True
+        self._streaming = True
+        self._conn.send_head(self, status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the answer's body."""
+        if not self.closed:
+            self._conn.send_data(data)
+
+    def finish(self) -> None:
+        """End an answer begun with `start`."""
+        if not self.closed:
+            self._conn.end_answer(self)
+
+    def abort(self) -> None:
+        """Break the connection, so that a partial answer cannot look whole."""
+        if not self.closed:
+            self._conn.abort()
+
+    # Interface of a Twisted push producer, for flow control of the answer.
+
+    def pauseProducing(self) -> None:
+        if self.on_pause is not None:
+            self.on_pause()
+
+    def resumeProducing(self) -> None:
+        if self.on_resume is not None:
+            self.on_resume()
+
+    def stopProducing(self) -> None:
+        """Do nothing: `lose` handles the end of the connection."""
+
+
+class _Collector:
+    """Sink that keeps a body up to a limit in memory."""
+
+    __slots__ = ("_max_bytes", "_parts", "_size", "result")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.result: Deferred[bytes | ErrorKind] = Deferred()
+
+    def write(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size <= self._max_bytes:
+            self._parts.append(data)
+        elif not self.result.called:
+            self._parts.clear()
+            self.result.callback(ErrorKind.BODY_TOO_LARGE)
+
+    def end(self) -> None:
+        if not self.result.called:
+            self.result.callback(b"".join(self._parts))
+
+    def fail(self, kind: ErrorKind) -> None:
+        if not self.result.called:
+            self.result.callback(kind)
+
+
+Handler = Callable[[ServerRequest], None]
+
+
+class HttpServerProtocol(Protocol, TimeoutMixin):
+    """One connection of a caller."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = self._make_parser()
+        self._req: ServerRequest | None = None
+        self._advancing = False
+        self._reading = True
+        self._discarding = False  # drops the rest of a refused body
+        self._peer_ip = ""
+
+    @staticmethod
+    def _make_parser() -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self._peer_ip = self.transport.getPeer().host
+        self._server.connections.add(self)
+        self.setTimeout(IDLE_TIMEOUT_S)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._discarding:
+            return
+        self._h11.receive_data(data)
+        self.advance()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.setTimeout(None)
+        self._server.connections.discard(self)
+        req, self._req = self._req, None
+        if req is not None:
+            req.lose()
+
+    def timeoutConnection(self) -> None:
+        self.transport.abortConnection()
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is being handled."""
+        return self._req is None
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being handled."""
+        if self._req is None:
+            self.transport.loseConnection()
+
+    def advance(self) -> None:
+        """Parse as far as bytes and flow control allow."""
+        if self._advancing or self._discarding:
+            return
+        self._advancing = True
+        try:
+            while self._step():
+                pass
+        except h11.RemoteProtocolError as exc:
+            self._reject(exc)
+        finally:
+            self._advancing = False
+
+    def _step(self) -> bool:
+        req = self._req
+        if req is not None and req.holding and self._h11.their_state is h11.SEND_BODY:
+            self._set_reading(False)
+            return False
+        event = self._h11.next_event()
+        if event is h11.NEED_DATA:
+            self._invite_body()
+            self._set_reading(True)
+            return False
+        if event is h11.PAUSED:
+            self._set_reading(False)
+            return False
+        if isinstance(event, h11.Request):
+            self._begin(event)
+        elif isinstance(event, h11.Data) and req is not None:
+            req.deliver(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and req is not None:
+            req.finish_body()
+            self._next_request()
+        return not isinstance(event, h11.ConnectionClosed) and not self._discarding
+
+    def _begin(self, event: h11.Request) -> None:
+        self.setTimeout(None)
+        req = ServerRequest(self, event, self._peer_ip)
+        self._req = req
+        if not req.has_body:
+            self._h11.next_event()  # the end of a message without a body
+            req.ended = True
+        try:
+            self._server.handler(req)
+        except Exception:
+            logger.exception("request handler failed")
+            if not req.answered:
+                req.respond(500, [(b"Error-Kind", b"INTERNAL_ERROR")], b"")
+
+    def _invite_body(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue and not self._discarding:
+            invitation = h11.InformationalResponse(status_code=100, headers=[])
+            self.transport.write(self._h11.send(invitation))
+
+    def _set_reading(self, reading: bool) -> None:
+        if reading != self._reading:
+            self._reading = reading
+            if reading:
+                self.transport.resumeProducing()
+            else:
+                self.transport.pauseProducing()
+
+    def _reject(self, exc: h11.RemoteProtocolError) -> None:
+        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [
+                (b"Error-Kind", b"BAD_REQUEST"),
+                (b"Request-Outcome", b"did-not-run"),
+                (b"Content-Length", b"0"),
+                (b"Connection", b"close"),
+            ]
+            status = exc.error_status_hint or 400
+            head = h11.Response(status_code=status, headers=headers)
+            self.transport.write(self._h11.send(head))
+        self._discarding = True
+        self.transport.loseConnection()
+
+    # Answers.
+
+    def _close_after(self, req: ServerRequest) -> bool:
+        return self._server.draining or not req.ended
+
+    def _head(self, req: ServerRequest, status: int, headers: Headers) -> bytes:
+        if self._close_after(req):
+            headers = [*headers, (b"Connection", b"close")]
+        head: bytes = self._h11.send(h11.Response(status_code=status, headers=headers))
+        return head
+
+    def send_whole(
+        self, req: ServerRequest, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send head and body in one write."""
+        parts = self._head(req, status, headers)
+        if body and req.method != "HEAD":
+            parts += self._h11.send(h11.Data(data=body))
+        parts += self._h11.send(h11.EndOfMessage())
+        self.transport.write(parts)
+        self._end(req)
+
+    def send_head(self, req: ServerRequest, status: int, headers: Headers) -> None:
+        """Send the head and start flow control of the body."""
+        self.transport.write(self._head(req, status, headers))
+        self.transport.registerProducer(req, True)
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self.transport.write(self._h11.send(h11.Data(data=data)))
+
+    def end_answer(self, req: ServerRequest) -> None:
+        """Send the end of a streamed body."""
+        try:
+            tail = self._h11.send(h11.EndOfMessage())
+        except h11.LocalProtocolError:
+            # Fewer bytes than announced were sent; only a cut tells the caller.
+            self.abort()
+            return
+        self.transport.unregisterProducer()
+        self.transport.write(tail)
+        self._end(req)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self.transport.abortConnection()
+
+    def _end(self, req: ServerRequest) -> None:
+        if req.ended:
+            self._next_request()
+        else:
+            self._discard_rest()
+
+    def _next_request(self) -> None:
+        """Get ready for the next request once both directions are done."""
+        if self._h11.our_state is h11.MUST_CLOSE:
+            self._req = None
+            self.transport.loseConnection()
+        elif self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._req = None
+            self._h11.start_next_cycle()
+            self.setTimeout(IDLE_TIMEOUT_S)
+            self.advance()
+
+    def _discard_rest(self) -> None:
+        self._discarding = True
+        self._req = None
+        self._set_reading(True)
+        self.transport.loseWriteConnection()
+        self.setTimeout(DISCARD_TIMEOUT_S)
+
+
+class HttpServer:
+    """Listens on an address and hands requests to a handler."""
+
+    __slots__ = ("_port", "connections", "draining", "handler")
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.connections: set[HttpServerProtocol] = set()
+        self.draining = False  # answers close their connections
+        self._port: Any = None
+
+    def listen(self, reactor: Any, address: Address) -> None:
+        """Start to accept connections."""
+        self._port = reactor.listenTCP(
+            address.port, _ServerFactory(self), backlog=512, interface=address.ip
+        )
+
+    async def close_port(self) -> None:
+        """Stop to accept connections; close those that are idle."""
+        port, self._port = self._port, None
+        if port is not None:
+            await port.stopListening()
+        self.draining = True
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Reset all connections that are still open."""
+        for conn in list(self.connections):
+            conn.abort()
+
+
+class _ServerFactory(Factory):
+    """Builds the connections of one server."""
+
+    noisy = False
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+
+    def buildProtocol(self, addr: Any) -> HttpServerProtocol:
+        return HttpServerProtocol(self._server)
--- /dev/null
+++ b/tests/unit/test_http.py
@@ -0,0 +1,198 @@
+"""Guards the HTTP connections: whole bodies, flow control, honest failures.
+
+Both ends run over in-memory transports, so that cuts fall on chosen bytes.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from twisted.internet.testing import StringTransport
+
+from samphirebend.addresses import Address
+from samphirebend.errorcodes import ErrorKind
+from samphirebend.httpclient import ClientConnection, ConnectionPool, ResponseHead
+from samphirebend.httpserver import HttpServer, HttpServerProtocol, ServerRequest
+
+
+class Transport(StringTransport):
+    """In-memory transport with the calls of a TCP transport."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Accept the option."""
+
+    def loseWriteConnection(self) -> None:
+        """Accept the half close."""
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+
+class Sink:
+    """Records what a body or answer sink is told."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.data = b""
+        self.ended = 0
+        self.failed: list[ErrorKind] = []
+
+    def head(self, head: ResponseHead) -> None:
+        self.status = head.status
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def end(self) -> None:
+        self.ended += 1
+
+    def fail(self, kind: ErrorKind) -> None:
+        self.failed.append(kind)
+
+
+def serve() -> tuple[HttpServerProtocol, Transport, list[ServerRequest]]:
+    seen: list[ServerRequest] = []
+    conn = HttpServerProtocol(HttpServer(seen.append))
+    transport = Transport()
+    conn.makeConnection(transport)
+    return conn, transport, seen
+
+
+def client() -> tuple[ClientConnection, Transport, Sink]:
+    class Pool:
+        def put_back(self, conn: Any) -> None:
+            """Accept the connection."""
+
+        def forget(self, conn: Any) -> None:
+            """Accept the connection."""
+
+    conn = ClientConnection(Pool())  # type: ignore[arg-type]
+    transport, sink = Transport(), Sink()
+    conn.makeConnection(transport)
+    conn.send("GET", "/", [(b"Host", b"x")], b"", sink)
+    return conn, transport, sink
+
+
+def test_two_requests_on_one_connection_get_their_own_answers() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(
+        b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n"
+    )
+    assert [req.target for req in seen] == ["/a"]
+    seen[0].respond(200, [], b"first")
+    assert [req.target for req in seen] == ["/a", "/b"]
+    seen[1].respond(200, [], b"second")
+    assert transport.value().index(b"first") < transport.value().index(b"second")
+    conn.setTimeout(None)
+
+
+def test_body_waits_for_its_sink_and_stops_reading() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+    assert transport.producerState == "paused"
+    sink = Sink()
+    seen[0].receive(sink)
+    assert transport.producerState == "producing"
+    conn.dataReceived(b"def")
+    assert (sink.data, sink.ended) == (b"abcdef", 1)
+    seen[0].respond(200, [], b"")
+    conn.setTimeout(None)
+
+
+def test_caller_that_goes_away_fails_the_body() -> None:
+    conn, _, seen = serve()
+    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+    sink = Sink()
+    seen[0].receive(sink)
+    conn.connectionLost()
+    assert sink.failed == [ErrorKind.CALLER_GONE]
+    assert not sink.ended
+
+
+def test_early_answer_drops_the_rest_of_the_body_and_closes() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+    seen[0].respond(503, [], b"no")
+    conn.dataReceived(b"def")
+    assert b"Connection: close" in transport.value()
+    assert len(seen) == 1
+    conn.setTimeout(None)
+
+
+def test_short_streamed_answer_is_cut_and_not_ended() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    seen[0].start(200, [(b"Content-Length", b"10")])
+    seen[0].write(b"abc")
+    seen[0].finish()
+    assert transport.aborted
+
+
+def test_malformed_request_is_refused() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"NONSENSE\r\n\r\n")
+    assert not seen
+    assert b"400" in transport.value()
+    assert transport.disconnecting
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "kind"),
+    [
+        (b"", ErrorKind.UPSTREAM_BROKEN),
+        (HEAD[:20], ErrorKind.UPSTREAM_BROKEN),
+        (HEAD, ErrorKind.ANSWER_TRUNCATED),
+        (HEAD + b"abc", ErrorKind.ANSWER_TRUNCATED),
+        (b"HTTP/1.1 200 OK\r\n\r\nunframed", ErrorKind.ANSWER_TRUNCATED),
+        (b"junk junk junk\r\n\r\n", ErrorKind.UPSTREAM_BROKEN),
+    ],
+)
+def test_cut_answer_is_a_failure(data: bytes, kind: ErrorKind) -> None:
+    conn, _, sink = client()
+    if data:
+        conn.dataReceived(data)
+    conn.connectionLost()
+    assert sink.failed == [kind]
+    assert not sink.ended
+
+
+def test_whole_answer_ends_once() -> None:
+    conn, transport, sink = client()
+    conn.dataReceived(HEAD + b"abcde")
+    conn.connectionLost()
+    assert (sink.data, sink.ended, sink.failed) == (b"abcde", 1, [])
+    assert not transport.aborted
+
+
+def test_bytes_without_an_exchange_close_the_connection() -> None:
+    conn, transport, _ = client()
+    conn.dataReceived(HEAD + b"abcde")
+    conn.dataReceived(b"late answer")
+    assert transport.aborted
+
+
+def test_cancelled_exchange_hears_no_late_answer() -> None:
+    conn, transport, sink = client()
+    conn.cancel()
+    conn.dataReceived(HEAD + b"abcde")
+    assert transport.aborted
+    assert (sink.data, sink.ended, sink.failed) == (b"", 0, [])
+
+
+def test_pool_drops_connections_that_were_idle_too_long() -> None:
+    now = [0.0]
+    pool = ConnectionPool(None, lambda: now[0])
+    conn, transport, _ = client()
+    address = Address("127.0.0.1", 1)
+    pool.add_idle(address, conn)
+    now[0] = 100.0
+    assert pool._take_idle(address) is None
+    assert transport.aborted
--- /dev/null
+++ b/tests/unit/test_ledger.py
@@ -0,0 +1,90 @@
+"""Guards the ledger: one execution for each key, and none for a forgotten key."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+
+from samphirebend.errorcodes import ErrorKind, Outcome
+from samphirebend.ledger import (
+    EPOCH_S,
+    MAX_ANSWER_BYTES,
+    MAX_KEPT_BYTES,
+    KeptAnswer,
+    Ledger,
+    RequestKey,
+    parse_key,
+)
+
+
+def issue(ledger: Ledger, now: float) -> RequestKey:
+    key = parse_key(ledger.issue(now))
+    assert key is not None
+    return key
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.floats(0, 400, allow_nan=False)), max_size=40
+    )
+)
+def test_a_key_is_new_at_most_once_at_any_time(steps: list[tuple[int, float]]) -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    keys = [issue(ledger, 0.0) for _ in range(4)]
+    executed: set[int] = set()
+    now = 0.0
+    for index, pause in steps:
+        now += pause
+        begun = ledger.begin(keys[index], 1, now)
+        if isinstance(begun, Ok) and begun.ok_value.is_new:
+            assert index not in executed
+            executed.add(index)
+
+
+def test_key_older_than_the_previous_epoch_is_unknown() -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    key = issue(ledger, 0.0)
+    assert ledger.begin(key, 1, 2 * EPOCH_S) == Err(ErrorKind.KEY_EXPIRED)
+
+
+def test_key_of_another_incarnation_is_not_owned() -> None:
+    key = issue(Ledger("entry-1", 7, 0.0), 0.0)
+    assert not Ledger("entry-1", 8, 0.0).owns(key)
+
+
+def test_key_of_an_epoch_to_come_is_malformed() -> None:
+    key = RequestKey("entry-1", 7, 5, "ab" * 16)
+    begun = Ledger("entry-1", 7, 0.0).begin(key, 1, 0.0)
+    assert begun == Err(ErrorKind.KEY_MALFORMED)
+
+
+def test_key_with_another_request_is_refused() -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    key = issue(ledger, 0.0)
+    ledger.begin(key, 1, 0.0)
+    assert ledger.begin(key, 2, 0.0) == Err(ErrorKind.KEY_MISMATCH)
+
+
+def test_kept_answers_stay_within_their_limit() -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    entries = []
+    for _ in range(MAX_KEPT_BYTES // MAX_ANSWER_BYTES + 2):
+        entry = ledger.begin(issue(ledger, 0.0), 1, 0.0).unwrap().entry
+        answer = KeptAnswer(200, [], b"x" * MAX_ANSWER_BYTES)
+        ledger.finish(entry, Outcome.DONE, None, answer)
+        entries.append(entry)
+    kept = sum(len(e.answer.body) for e in entries if e.answer is not None)
+    assert kept <= MAX_KEPT_BYTES
+    assert entries[-1].answer is not None
+    assert entries[0].answer is None
+    assert entries[0].outcome is Outcome.DONE
+
+
+def test_finish_releases_repeats() -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    entry = ledger.begin(issue(ledger, 0.0), 1, 0.0).unwrap().entry
+    waiter: Deferred[None] = Deferred()
+    entry.waiters.append(waiter)
+    ledger.finish(entry, Outcome.UNKNOWN, ErrorKind.UPSTREAM_BROKEN, None)
+    assert waiter.called
--- /dev/null
+++ b/tests/unit/test_requestlife.py
@@ -0,0 +1,36 @@
+"""Guards the rule that "did not run" is never told after a dispatch began."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from samphirebend.errorcodes import Outcome
+from samphirebend.requestlife import make_request_life
+
+ENDS = st.sampled_from(["refuse", "lose", "answer", "open"])
+
+
+@given(st.lists(ENDS, max_size=6))
+def test_did_not_run_only_if_every_attempt_was_refused(ends: list[str]) -> None:
+    life = make_request_life()
+    for end in ends:
+        life.begin_dispatch()
+        assert life.outcome() is Outcome.UNKNOWN
+        if end == "open":
+            break
+        getattr(life, end)()
+    expected_not_run = all(end == "refuse" for end in ends)
+    assert (life.outcome() is Outcome.DID_NOT_RUN) == expected_not_run
+
+
+@given(st.lists(ENDS, min_size=1, max_size=6))
+def test_done_only_after_an_answer(ends: list[str]) -> None:
+    life = make_request_life()
+    for end in ends:
+        life.begin_dispatch()
+        if end == "open":
+            break
+        getattr(life, end)()
+    assert (life.outcome() is Outcome.DONE) == (
+        ends[-1] == "answer" and "open" not in ends
+    )
