Add upstreamstate: life cycle and measurements of upstreams

Cause: routing needs one answer to "may this upstream get new work" from four sources that arrive late and out of order. Ruled out: passing on what peers told (two hosts would keep old news alive after a return); a leaving state after repeated refusals (an upstream that sheds load would stay out until it restarts), such refusals eject instead. Change: automat machine per upstream, ordering rules by instance and by changes of the list, ejection with a growing pause and a single trial, a 10 s ramp for new upstreams and new instances. Conclusion: interface ready for the request path.

--- /dev/null
+++ b/samphirebend/upstreamstate.py
@@ -0,0 +1,531 @@
+"""Life cycle and measurements of this region's upstreams.
+
+`health` and `entry` report what they observe; `routing` reads the result.
+Observations arrive late and out of order, so each rule states which news may
+replace which:
+
+- The earliest sign that an upstream is leaving counts, whatever its source.
+- Only a new instance that the upstream itself reports ends leaving, or the
+  platform's list once that list itself has shown the upstream as leaving or
+  absent. What is known from peers only also ends when they withdraw it. A
+  list entry or a peer's word that has not changed since is no news.
+- Own outcomes go before reports: reports never make an upstream more
+  attractive than its own outcomes do.
+
+Upstreams of the first manifest after the start of the daemon count as warm:
+they may have served other hosts or an earlier process, and a ramp over all of
+them at once would refuse work after each restart. An upstream that a later
+manifest adds, or that reports a new instance, starts cold.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from enum import Enum, unique
+from typing import Final, Protocol
+
+from automat import TypeMachineBuilder
+
+from .manifest import Manifest
+
+COLD_RAMP_S: Final = 10.0
+REPORT_MAX_AGE_S: Final = 5.0
+# Three slots per upstream are usual, so a crash of a full upstream is three
+# failures at once; a fourth shows that the upstream fails after the crash too.
+EJECT_CONSECUTIVE: Final = 4
+EJECT_FAILURE_SHARE: Final = 0.5
+EJECT_MIN_OUTCOMES: Final = 8.0  # decayed count, below which a share says little
+EJECT_MAX_SHARE_DIVISOR: Final = 3  # at most a third of a service's upstreams
+FIRST_PAUSE_S: Final = 2.0
+MAX_PAUSE_S: Final = 60.0
+PAUSE_FORGET_S: Final = 120.0  # time up after which the pause starts anew
+OUTCOME_DECAY_S: Final = 10.0
+LATENCY_WEIGHT: Final = 0.1  # of the newest sample in the moving average
+MAX_PAST_INSTANCES: Final = 8
+
+
+@unique
+class LifeState(Enum):
+    """State of an upstream as this host knows it."""
+
+    COLD = "cold"
+    UP = "up"
+    EJECTED = "ejected"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@unique
+class Listed(Enum):
+    """What the platform's list says of an upstream."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+    ABSENT = "absent"
+
+
+@unique
+class DispatchOutcome(Enum):
+    """How one dispatch to an upstream ended, as far as the upstream caused it."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"  # broken, truncated, late, wrong or no connection
+    REFUSED = "refused"  # explicitly not run
+    CANCELLED = "cancelled"  # ended by the caller; says nothing
+
+
+class Report:
+    """One answer of an upstream's health endpoint."""
+
+    __slots__ = ("draining", "failing", "in_use", "instance")
+
+    def __init__(
+        self, instance: str, failing: bool, draining: bool, in_use: int | None
+    ) -> None:
+        self.instance = instance  # empty: not given
+        self.failing = failing  # status "fail"
+        self.draining = draining
+        self.in_use = in_use  # slots, None: unknown
+
+
+class _Inputs(Protocol):
+    def warmed(self) -> None: ...
+    def ejected(self) -> None: ...
+    def recovered(self) -> None: ...
+    def left(self) -> None: ...
+    def vanished(self) -> None: ...
+    def renewed(self) -> None: ...
+    def state(self) -> LifeState: ...
+
+
+class _Core:
+    """Data of the machine; the transitions need none."""
+
+    __slots__ = ()
+
+
+def _build_machine() -> Callable[[_Core], _Inputs]:
+    builder = TypeMachineBuilder(_Inputs, _Core)
+    up = builder.state("up")  # the initial state
+    cold = builder.state("cold")
+    ejected = builder.state("ejected")
+    leaving = builder.state("leaving")
+    gone = builder.state("gone")
+    for source, event, target in (
+        (up, _Inputs.ejected, ejected),
+        (cold, _Inputs.ejected, ejected),
+        (cold, _Inputs.warmed, up),
+        (ejected, _Inputs.recovered, up),
+        (up, _Inputs.left, leaving),
+        (cold, _Inputs.left, leaving),
+        (ejected, _Inputs.left, leaving),
+        (leaving, _Inputs.left, leaving),
+        (gone, _Inputs.left, gone),
+    ):
+        source.upon(event).to(target).returns(None)
+    for state, value in (
+        (up, LifeState.UP),
+        (cold, LifeState.COLD),
+        (ejected, LifeState.EJECTED),
+        (leaving, LifeState.LEAVING),
+        (gone, LifeState.GONE),
+    ):
+        state.upon(_Inputs.vanished).to(gone).returns(None)
+        state.upon(_Inputs.renewed).to(cold).returns(None)
+        state.upon(_Inputs.state).loop().returns(value)
+    return builder.build()
+
+
+_make_machine: Final = _build_machine()
+
+
+class _Record:
+    """All that is known of one upstream."""
+
+    __slots__ = (
+        "address",
+        "cold_since",
+        "consecutive",
+        "ejected_at",
+        "failures",
+        "first_hand",
+        "instance",
+        "latency_at",
+        "latency_s",
+        "listed",
+        "listed_away_at",
+        "machine",
+        "outcomes_at",
+        "past_instances",
+        "pause_s",
+        "recovered_at",
+        "renewed_at",
+        "report",
+        "report_sent_at",
+        "service",
+        "slots",
+        "state",
+        "successes",
+        "told_by",
+        "trial_sent_at",
+    )
+
+    def __init__(self, service: str, address: str, slots: int) -> None:
+        self.service = service
+        self.address = address
+        self.slots = slots
+        self.machine = _make_machine(_Core())
+        self.state = LifeState.UP  # of the machine, kept for fast reads
+        self.cold_since = -math.inf
+        self.renewed_at = -math.inf  # last new instance or return in the list
+        self.instance = ""
+        self.past_instances: list[str] = []
+        self.listed: Listed | None = None
+        self.listed_away_at = -math.inf  # when the list showed it leaving or absent
+        self.first_hand = False  # leaving by this host's own observation
+        self.told_by: set[str] = set()  # peers by which it is leaving
+        self.report: Report | None = None
+        self.report_sent_at = -math.inf
+        self.consecutive = 0  # failures and refusals since the last answer
+        self.successes = 0.0  # decayed counts at outcomes_at
+        self.failures = 0.0
+        self.outcomes_at = -math.inf
+        self.latency_s = 0.0
+        self.latency_at = -math.inf  # never: -inf
+        self.ejected_at = -math.inf
+        self.pause_s = 0.0
+        self.recovered_at = -math.inf
+        self.trial_sent_at: float | None = None
+
+    def send(self, event: str) -> None:
+        """Feed one input to the machine."""
+        getattr(self.machine, event)()
+        self.state = self.machine.state()
+
+    def decay(self, now: float) -> None:
+        """Age the counts of outcomes to the given time."""
+        age_s = now - self.outcomes_at
+        if age_s > 0:
+            factor = math.exp(-age_s / OUTCOME_DECAY_S)
+            self.successes *= factor
+            self.failures *= factor
+            self.outcomes_at = now
+
+    def renew(self, now: float) -> None:
+        """Start anew as cold and drop what was measured of the old instance."""
+        self.send("renewed")
+        self.cold_since = self.renewed_at = now
+        self.first_hand = False
+        self.told_by.clear()
+        self.consecutive = 0
+        self.successes = self.failures = 0.0
+        self.latency_at = -math.inf
+        self.pause_s = 0.0
+        self.trial_sent_at = None
+
+
+class UpstreamStates:
+    """States and measurements of the upstreams of one region."""
+
+    __slots__ = ("_owned", "_peer_news", "_records", "_region", "_started")
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        self._records: dict[str, _Record] = {}
+        self._owned: dict[str, list[str]] = {}  # service to upstreams in use here
+        # Incarnation of each peer and the upstreams that it names as leaving.
+        self._peer_news: dict[str, tuple[int, frozenset[str]]] = {}
+        self._started = False  # a manifest was applied
+
+    def apply(self, manifest: Manifest, now: float) -> None:
+        """Follow the manifest in force; an upstream added later starts cold."""
+        records: dict[str, _Record] = {}
+        for upstream in manifest.upstreams.values():
+            if upstream.region != self._region:
+                continue
+            record = self._records.get(upstream.name)
+            address = str(upstream.address)
+            if record is None or record.address != address:
+                record = _Record(upstream.service, address, upstream.slots)
+                if self._started:
+                    record.renew(now)
+            record.service = upstream.service
+            record.slots = upstream.slots
+            records[upstream.name] = record
+        self._records = records
+        self._started = True
+
+    def set_owned(self, upstreams: Iterable[str]) -> None:
+        """Tell which upstreams this host uses; bounds the ejected per service."""
+        self._owned = {}
+        for name in sorted(upstreams):
+            if name in self._records:
+                service = self._records[name].service
+                self._owned.setdefault(service, []).append(name)
+
+    def state(self, upstream: str, now: float) -> LifeState:
+        """Return the state; an upstream that is not known is gone."""
+        record = self._records.get(upstream)
+        if record is None:
+            return LifeState.GONE
+        if record.state is LifeState.COLD and now - record.cold_since >= COLD_RAMP_S:
+            record.send("warmed")
+        return record.state
+
+    def accepts(self, upstream: str, now: float) -> bool:
+        """Return whether new work may go to the upstream."""
+        state = self.state(upstream, now)
+        if state is LifeState.EJECTED:
+            record = self._records[upstream]
+            return (
+                record.trial_sent_at is None
+                and now >= record.ejected_at + record.pause_s
+            )
+        return state in (LifeState.COLD, LifeState.UP)
+
+    def limit(self, upstream: str, slots: int, now: float) -> int:
+        """Return how many of the slots may be in use now."""
+        if not self.accepts(upstream, now):
+            return 0
+        record = self._records[upstream]
+        if record.state is LifeState.EJECTED:
+            return min(1, slots)  # the single trial
+        if record.state is LifeState.COLD:
+            share = max(0.0, now - record.cold_since) / COLD_RAMP_S
+            return min(slots, 1 + int((slots - 1) * share))
+        return slots
+
+    def note_dispatch(self, upstream: str, now: float) -> None:
+        """Record that a request is sent; on an ejected upstream it is the trial."""
+        record = self._records.get(upstream)
+        if record is not None and record.state is LifeState.EJECTED:
+            record.trial_sent_at = now
+
+    def note_outcome(
+        self,
+        upstream: str,
+        outcome: DispatchOutcome,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Record how a dispatch ended; `sent_at` as given to `note_dispatch`."""
+        record = self._records.get(upstream)
+        if record is None or sent_at < record.renewed_at:
+            return  # an outcome of an earlier instance
+        if outcome is DispatchOutcome.CANCELLED:
+            if record.trial_sent_at == sent_at:
+                record.trial_sent_at = None
+            return
+        record.decay(now)
+        if outcome is DispatchOutcome.ANSWERED:
+            self._note_success(record, sent_at, now)
+        else:
+            record.failures += 1.0
+            record.consecutive += 1
+        if record.state is LifeState.EJECTED:
+            self._note_trial(record, outcome, sent_at, now)
+        elif outcome is not DispatchOutcome.ANSWERED:
+            self._maybe_eject(record, now)
+
+    def _note_success(self, record: _Record, sent_at: float, now: float) -> None:
+        record.successes += 1.0
+        record.consecutive = 0
+        sample_s = max(0.0, now - sent_at)
+        if math.isinf(record.latency_at):
+            record.latency_s = sample_s
+        else:
+            record.latency_s += LATENCY_WEIGHT * (sample_s - record.latency_s)
+        record.latency_at = now
+
+    def _note_trial(
+        self, record: _Record, outcome: DispatchOutcome, sent_at: float, now: float
+    ) -> None:
+        if record.trial_sent_at is None or sent_at < record.trial_sent_at:
+            return  # sent before the ejection
+        record.trial_sent_at = None
+        if outcome is DispatchOutcome.ANSWERED:
+            record.send("recovered")
+            record.recovered_at = now
+            record.successes, record.failures = 1.0, 0.0
+        else:
+            self._pause(record, now)
+
+    def _maybe_eject(self, record: _Record, now: float) -> None:
+        if record.state not in (LifeState.UP, LifeState.COLD):
+            return
+        total = record.successes + record.failures
+        failing = record.consecutive >= EJECT_CONSECUTIVE or (
+            total >= EJECT_MIN_OUTCOMES
+            and record.failures >= EJECT_FAILURE_SHARE * total
+        )
+        if failing and self._may_eject(record.service):
+            record.send("ejected")
+            record.trial_sent_at = None
+            if now - record.recovered_at > PAUSE_FORGET_S:
+                record.pause_s = 0.0
+            self._pause(record, now)
+
+    def _may_eject(self, service: str) -> bool:
+        names = self._owned.get(service, [])
+        if len(names) < 2:
+            return False
+        ejected = sum(
+            self._records[name].state is LifeState.EJECTED
+            for name in names
+            if name in self._records
+        )
+        return ejected < max(1, len(names) // EJECT_MAX_SHARE_DIVISOR)
+
+    @staticmethod
+    def _pause(record: _Record, now: float) -> None:
+        record.ejected_at = now
+        record.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * record.pause_s))
+
+    def note_draining(self, upstream: str, sent_at: float, now: float) -> None:
+        """Record the upstream's own drain signal in an answer.
+
+        `sent_at` is when the request was sent: an answer to a request that was
+        sent before a new instance was heard of tells nothing of that instance.
+        """
+        record = self._records.get(upstream)
+        if record is not None and sent_at >= record.renewed_at:
+            self._leave(record)
+
+    @staticmethod
+    def _leave(record: _Record) -> None:
+        record.first_hand = True
+        record.send("left")
+
+    def note_listed(self, upstream: str, listed: Listed, now: float) -> None:
+        """Record what the platform's list says; only a change is news."""
+        record = self._records.get(upstream)
+        if record is None or record.listed is listed:
+            return
+        if listed is Listed.ABSENT and record.listed is None:
+            # The list may lag behind a new upstream, so that an upstream that
+            # it never showed is unknown rather than gone.
+            return
+        record.listed = listed
+        if listed is Listed.SERVING:
+            # If the list showed the upstream as away before the last renewal
+            # only, its return is older news than the present leaving.
+            away = record.state in (LifeState.LEAVING, LifeState.GONE)
+            if away and record.listed_away_at >= record.renewed_at:
+                record.renew(now)
+            return
+        record.listed_away_at = now
+        if listed is Listed.LEAVING:
+            self._leave(record)
+        else:
+            record.first_hand = True
+            record.send("vanished")
+
+    def note_report(
+        self, upstream: str, report: Report, sent_at: float, now: float
+    ) -> None:
+        """Record a health report; `sent_at` is when the poll was sent."""
+        record = self._records.get(upstream)
+        if record is None or sent_at <= record.report_sent_at:
+            return
+        if report.instance in record.past_instances:
+            return
+        record.report_sent_at = sent_at
+        record.report = report
+        if report.instance and report.instance != record.instance:
+            if record.instance:
+                record.past_instances.append(record.instance)
+                del record.past_instances[:-MAX_PAST_INSTANCES]
+                record.renew(now)
+            record.instance = report.instance
+        if report.draining:
+            self._leave(record)
+
+    def note_peer_leaving(
+        self, peer: str, incarnation: int, upstreams: Iterable[str], now: float
+    ) -> None:
+        """Record the upstreams that a peer's heartbeat names as leaving.
+
+        A name that the peer has told before is no news: the peer may not have
+        heard of the new instance that this host has heard of. A name that the
+        same incarnation no longer tells has returned by the peer's own rules;
+        a restarted peer has only forgotten it.
+        """
+        told = frozenset(upstreams)
+        known = self._peer_news.get(peer)
+        before = known[1] if known else frozenset()
+        for name in sorted(told - before):
+            record = self._records.get(name)
+            if record is not None:
+                record.told_by.add(peer)
+                record.send("left")
+        if known and known[0] == incarnation:
+            for name in sorted(before - told):
+                self._withdraw(name, peer, now)
+        self._peer_news[peer] = (incarnation, told)
+
+    def _withdraw(self, name: str, peer: str, now: float) -> None:
+        record = self._records.get(name)
+        if record is None or peer not in record.told_by:
+            return
+        record.told_by.discard(peer)
+        if (
+            not record.told_by
+            and not record.first_hand
+            and record.state is LifeState.LEAVING
+        ):
+            record.renew(now)
+
+    def leaving(self) -> list[str]:
+        """Return the upstreams that this host itself saw leave, for peers.
+
+        Hearsay is not passed on: two hosts would keep each other's old news
+        alive after the upstream's return.
+        """
+        return sorted(
+            name
+            for name, record in self._records.items()
+            if record.first_hand and record.state in (LifeState.LEAVING, LifeState.GONE)
+        )
+
+    def latency_s(self, upstream: str) -> float | None:
+        """Return the moving average of own latencies, None if there is none."""
+        record = self._records.get(upstream)
+        if record is None or math.isinf(record.latency_at):
+            return None
+        return record.latency_s
+
+    def latency_age_s(self, upstream: str, now: float) -> float:
+        """Return the seconds since the last own answer; infinite if none."""
+        record = self._records.get(upstream)
+        return math.inf if record is None else now - record.latency_at
+
+    def failure_share(self, upstream: str, now: float) -> float:
+        """Return the share of recent own outcomes that failed, from 0 to 1.
+
+        One success is assumed, so that a single failure does not count fully.
+        """
+        record = self._records.get(upstream)
+        if record is None:
+            return 0.0
+        record.decay(now)
+        return record.failures / (record.successes + record.failures + 1.0)
+
+    def reported_in_use(self, upstream: str, now: float) -> int | None:
+        """Return the slots in use by the last report, None if older than 5 s."""
+        record = self._records.get(upstream)
+        if record is None or record.report is None:
+            return None
+        if now - record.report_sent_at > REPORT_MAX_AGE_S:
+            return None
+        return record.report.in_use
+
+    def reported_failing(self, upstream: str, now: float) -> bool:
+        """Return whether a report of the last 5 s has the status "fail"."""
+        record = self._records.get(upstream)
+        return (
+            record is not None
+            and record.report is not None
+            and record.report.failing
+            and now - record.report_sent_at <= REPORT_MAX_AGE_S
+        )
--- /dev/null
+++ b/tests/unit/test_upstreamstate.py
@@ -0,0 +1,230 @@
+"""Guards the life cycle of upstreams against late and misleading news."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, strategies as st
+
+from samphirebend.addresses import Address
+from samphirebend.manifest import Manifest, Region, Service, Upstream
+from samphirebend.upstreamstate import (
+    COLD_RAMP_S,
+    DispatchOutcome,
+    LifeState,
+    Listed,
+    Report,
+    UpstreamStates,
+)
+
+FAILED = DispatchOutcome.FAILED
+ANSWERED = DispatchOutcome.ANSWERED
+
+
+def make_manifest(count: int) -> Manifest:
+    upstreams = [
+        Upstream(f"u{i}", "s", "r", "d", Address("127.0.0.1", 9000 + i), 3, 300)
+        for i in range(count)
+    ]
+    services = [Service("s", True, 5.0, 1000, upstreams)]
+    return Manifest("o", "latency", [Region("r", 100, ["d"])], [], [], services, [])
+
+
+def make_states(count: int = 6) -> UpstreamStates:
+    states = UpstreamStates("r")
+    states.apply(make_manifest(count), 0.0)
+    states.set_owned([f"u{i}" for i in range(count)])
+    return states
+
+
+def fail(states: UpstreamStates, upstream: str, now: float, times: int = 4) -> None:
+    for _ in range(times):
+        states.note_dispatch(upstream, now)
+        states.note_outcome(upstream, FAILED, now, now + 0.01)
+
+
+def report(instance: str, draining: bool = False) -> Report:
+    return Report(instance, False, draining, 0)
+
+
+def test_first_manifest_is_warm_and_later_upstreams_ramp() -> None:
+    # A ramp over everything at a daemon's start would refuse half the work.
+    states = make_states(2)
+    assert states.limit("u0", 3, 0.0) == 3
+    states.apply(make_manifest(3), 100.0)
+    ramp = [states.limit("u2", 3, 100.0 + t) for t in (0.0, 5.0, COLD_RAMP_S)]
+    assert ramp == [1, 2, 3]
+    assert states.state("u2", 111.0) is LifeState.UP
+    assert states.state("u0", 100.0) is LifeState.UP
+
+
+def test_new_instance_ramps_and_old_answers_tell_nothing_of_it() -> None:
+    # A late answer of the old process must not mark the new one as leaving.
+    states = make_states()
+    states.note_report("u0", report("a"), 1.0, 1.1)
+    states.note_draining("u0", 2.0, 2.1)
+    assert not states.accepts("u0", 2.2)
+    states.note_report("u0", report("b"), 5.0, 5.1)
+    states.note_draining("u0", 4.0, 5.2)
+    states.note_report("u0", report("a", draining=True), 5.5, 5.6)
+    assert states.limit("u0", 3, 5.6) == 1
+
+
+@pytest.mark.parametrize("source", ["list", "answer", "report", "peer"])
+def test_any_single_source_ends_new_work(source: str) -> None:
+    # The earliest sign counts, even while all other sources still say "up".
+    states = make_states()
+    states.note_listed("u0", Listed.SERVING, 0.5)
+    states.note_report("u0", report("a"), 0.5, 0.6)
+    if source == "list":
+        states.note_listed("u0", Listed.LEAVING, 1.0)
+    elif source == "answer":
+        states.note_draining("u0", 0.9, 1.0)
+    elif source == "report":
+        states.note_report("u0", report("a", draining=True), 0.9, 1.0)
+    else:
+        states.note_peer_leaving("p", 7, ["u0"], 1.0)
+    states.note_report("u0", report("a"), 2.0, 2.1)
+    states.note_outcome("u0", ANSWERED, 0.5, 2.2)
+    if source != "list":
+        states.note_listed("u0", Listed.SERVING, 2.3)
+    assert not states.accepts("u0", 3.0)
+    assert states.leaving() == ([] if source == "peer" else ["u0"])
+
+
+def test_list_ends_leaving_only_after_it_showed_it() -> None:
+    # A lagging list still says "serving" for a while after the drain signal.
+    states = make_states()
+    states.note_listed("u0", Listed.SERVING, 0.0)
+    states.note_draining("u0", 1.0, 1.0)
+    states.note_listed("u0", Listed.SERVING, 2.0)
+    assert not states.accepts("u0", 2.0)
+    states.note_listed("u0", Listed.LEAVING, 3.0)
+    states.note_listed("u0", Listed.ABSENT, 4.0)
+    assert states.state("u0", 4.0) is LifeState.GONE
+    states.note_listed("u0", Listed.SERVING, 5.0)
+    assert states.limit("u0", 3, 5.0) == 1
+
+
+def test_late_return_in_list_does_not_end_a_newer_leaving() -> None:
+    # The list's "serving" may be about the instance before the present one.
+    states = make_states()
+    states.note_report("u0", report("a"), 0.0, 0.0)
+    states.note_listed("u0", Listed.LEAVING, 1.0)
+    states.note_report("u0", report("b"), 2.0, 2.0)
+    states.note_draining("u0", 3.0, 3.0)
+    states.note_listed("u0", Listed.SERVING, 4.0)
+    assert not states.accepts("u0", 4.0)
+
+
+def test_upstream_that_list_never_showed_is_unknown() -> None:
+    # The list lags behind additions; absence alone must not block capacity.
+    states = make_states()
+    states.note_listed("u0", Listed.ABSENT, 1.0)
+    assert states.accepts("u0", 1.0)
+
+
+def test_repeated_peer_news_does_not_cancel_a_new_instance() -> None:
+    # A peer that does not poll the upstream keeps telling the old news.
+    states = make_states()
+    states.note_report("u0", report("a"), 0.0, 0.0)
+    states.note_peer_leaving("p", 7, ["u0"], 1.0)
+    states.note_report("u0", report("b"), 2.0, 2.0)
+    states.note_peer_leaving("p", 7, ["u0"], 2.5)
+    assert states.accepts("u0", 2.5)
+
+
+def test_peer_restart_does_not_end_leaving_but_withdrawal_does() -> None:
+    # A restarted peer tells nothing because it forgot, not because of a return.
+    states = make_states()
+    states.note_peer_leaving("p", 7, ["u0", "u1"], 1.0)
+    states.note_peer_leaving("p", 7, ["u0"], 1.5)
+    assert states.accepts("u1", 1.5)
+    states.note_peer_leaving("p", 8, [], 2.0)
+    assert not states.accepts("u0", 2.0)
+
+
+def test_ejection_pauses_grow_with_a_single_trial() -> None:
+    # A bad upstream must cost one request per pause, not a burst.
+    states = make_states()
+    fail(states, "u0", 1.0)
+    assert not states.accepts("u0", 2.0)
+    assert states.limit("u0", 3, 3.1) == 1
+    states.note_dispatch("u0", 3.1)
+    assert not states.accepts("u0", 3.1)
+    states.note_outcome("u0", FAILED, 3.1, 3.2)
+    assert not states.accepts("u0", 6.0)
+    assert states.accepts("u0", 7.3)
+    states.note_dispatch("u0", 7.3)
+    states.note_outcome("u0", ANSWERED, 0.9, 7.4)  # sent before the ejection
+    assert not states.accepts("u0", 7.4)
+    states.note_outcome("u0", ANSWERED, 7.3, 7.5)
+    assert states.limit("u0", 3, 7.5) == 3
+
+
+def test_failure_share_ejects_without_consecutive_failures() -> None:
+    # Every second request failing never reaches a run of failures.
+    states = make_states()
+    for step in range(12):
+        outcome = FAILED if step % 2 else ANSWERED
+        states.note_outcome("u0", outcome, step * 0.1, step * 0.1 + 0.05)
+    assert states.state("u0", 2.0) is LifeState.EJECTED
+
+
+def test_only_upstream_is_never_ejected() -> None:
+    states = make_states(1)
+    fail(states, "u0", 1.0, times=50)
+    assert states.accepts("u0", 1.1)
+
+
+def test_old_reports_are_unknown_and_never_zero() -> None:
+    # A report that stopped coming must not keep an upstream looking idle.
+    states = make_states()
+    states.note_report("u0", report("a"), 1.0, 1.2)
+    assert states.reported_in_use("u0", 5.9) == 0
+    assert states.reported_in_use("u0", 6.1) is None
+
+
+EVENTS = st.tuples(
+    st.sampled_from(["fail", "ok", "drain", "list", "absent", "serve", "peer", "same"]),
+    st.integers(0, 6),
+    st.floats(0.0, 3.0),
+)
+
+
+@given(st.integers(1, 7), st.lists(EVENTS, max_size=80))
+def test_ejected_share_and_leaving_hold_under_any_order(
+    count: int, events: list[tuple[str, int, float]]
+) -> None:
+    # At most a third (or one of several) is ejected, and nothing but the list
+    # brings a leaving upstream back while its instance stays the same.
+    states = make_states(count)
+    now = 0.0
+    away: set[str] = set()
+    for kind, index, step_s in events:
+        now += step_s
+        name = f"u{index % count}"
+        if kind == "fail":
+            fail(states, name, now)
+        elif kind == "ok":
+            states.note_dispatch(name, now)
+            states.note_outcome(name, ANSWERED, now, now)
+        elif kind == "drain":
+            states.note_draining(name, now, now)
+            away.add(name)
+        elif kind == "list":
+            states.note_listed(name, Listed.LEAVING, now)
+            away |= {name} if states.state(name, now) is LifeState.LEAVING else set()
+        elif kind == "absent":
+            states.note_listed(name, Listed.ABSENT, now)
+        elif kind == "serve":
+            states.note_listed(name, Listed.SERVING, now)
+            if states.accepts(name, now):
+                away.discard(name)
+        elif kind == "peer":
+            states.note_peer_leaving("p", 1, [name], now)
+        else:
+            states.note_report(name, report("only"), now, now)
+        names = [f"u{i}" for i in range(count)]
+        assert not any(states.accepts(item, now) for item in away)
+        ejected = sum(states.state(n, now) is LifeState.EJECTED for n in names)
+        assert ejected <= (0 if count < 2 else max(1, count // 3))
