--- /dev/null
+++ b/tests/unit/test_quarantine.py
@@ -0,0 +1,123 @@
+"""Guards against a request that crashes each upstream that runs it."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from samphirebend import quarantine
+from samphirebend.quarantine import Quarantine, Verdict
+from samphirebend.wire import Suspect
+
+
+def test_second_crash_blocks_for_ten_minutes() -> None:
+    item = Quarantine()
+    item.note_dispatch(1, "u", 0.0)
+    assert item.note_crash("u", 0.1) == [1]
+    assert item.verdict(1, 0.2) is Verdict.ALONE
+    item.note_dispatch(1, "v", 0.2)
+    # A second caller must not start a second trial meanwhile.
+    assert item.verdict(1, 0.3) is Verdict.WAIT
+    assert item.held_for_trial("v")
+    item.note_crash("v", 0.4)
+    assert item.verdict(1, 600.0) is Verdict.BLOCKED
+    assert item.verdict(1, 600.5) is Verdict.CLEAR
+
+
+def test_resets_of_one_crash_count_once() -> None:
+    # One crash resets every connection; each reset is reported.
+    item = Quarantine()
+    item.note_dispatch(1, "u", 0.0)
+    item.note_dispatch(2, "u", 0.0)
+    assert sorted(item.note_crash("u", 0.1)) == [1, 2]
+    assert item.note_crash("u", 0.1) == []
+    assert [s.crashes for s in item.suspects(0.2)] == [1, 1]
+
+
+def test_answer_clears_only_what_crashed_in_company() -> None:
+    # A bystander must become free again, a lone crasher must not.
+    item = Quarantine()
+    item.note_dispatch(1, "u", 0.0)
+    item.note_dispatch(2, "u", 0.0)
+    item.note_crash("u", 0.1)
+    item.note_dispatch(3, "v", 0.0)
+    item.note_crash("v", 0.1)
+    for suspect in (1, 3):
+        item.note_dispatch(suspect, "w", 1.0)
+        item.note_answer(suspect, "w", 1.1)
+    assert item.verdict(1, 1.2) is Verdict.CLEAR
+    assert item.verdict(3, 1.2) is Verdict.ALONE
+    assert item.verdict(2, 59.0) is Verdict.ALONE
+    assert item.verdict(2, 60.2) is Verdict.CLEAR
+
+
+def test_cancelled_trial_leaves_the_suspect_alone() -> None:
+    # A caller that hangs up must not clear or lock the suspect.
+    item = Quarantine()
+    item.note_dispatch(1, "u", 0.0)
+    item.note_crash("u", 0.1)
+    item.note_dispatch(1, "v", 0.2)
+    item.note_end(1, "v")
+    assert item.verdict(1, 0.3) is Verdict.ALONE
+    assert item.idle("v")
+    assert not item.held_for_trial("v")
+
+
+def test_hosts_do_not_renew_each_others_suspects() -> None:
+    # Hearsay that is told on would circulate for ever.
+    first, second = Quarantine(), Quarantine()
+    first.note_dispatch(1, "u", 0.0)
+    first.note_crash("u", 0.0)
+    for tick in range(200):
+        now = tick * 0.5
+        second.merge(first.suspects(now), now)
+        first.merge(second.suspects(now), now)
+    assert first.verdict(1, 70.0) is Verdict.CLEAR
+    assert second.verdict(1, 70.0) is Verdict.CLEAR
+
+
+def test_heard_crash_counts_towards_the_block() -> None:
+    item = Quarantine()
+    item.merge([Suspect(1, 1)], 0.0)
+    assert item.verdict(1, 0.0) is Verdict.ALONE
+    item.note_dispatch(1, "u", 0.1)
+    item.note_crash("u", 0.2)
+    assert item.verdict(1, 0.3) is Verdict.BLOCKED
+    item.merge([Suspect(1, 1)], 0.4)
+    assert item.verdict(1, 0.5) is Verdict.BLOCKED
+
+
+def test_parts_of_a_fingerprint_do_not_shift() -> None:
+    assert quarantine.fingerprint("ab", "c", "d", b"") != quarantine.fingerprint(
+        "a", "bc", "d", b""
+    )
+
+
+def test_size_is_bounded() -> None:
+    item = Quarantine()
+    crashed = [Suspect(n, 1) for n in range(quarantine.MAX_SUSPECTS + 10)]
+    item.merge(crashed, 0.0)
+    assert item.verdict(0, 0.0) is Verdict.CLEAR
+    assert item.verdict(quarantine.MAX_SUSPECTS, 0.0) is Verdict.ALONE
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 5)), max_size=60))
+def test_poison_sent_again_crashes_at_most_two(steps: list[tuple[int, int]]) -> None:
+    # Its caller sends it again through any host; the peers hear before that.
+    hosts = [Quarantine() for _ in range(4)]
+    now, crashes = 0.0, 0
+    for index, neighbours in steps:
+        now += 0.1
+        host, upstream = hosts[index], f"u{index}"
+        verdict = host.verdict(99, now)
+        if verdict in (Verdict.BLOCKED, Verdict.WAIT):
+            continue
+        if verdict is Verdict.CLEAR:
+            for other in range(neighbours):
+                if host.verdict(other, now) is Verdict.CLEAR:
+                    host.note_dispatch(other, upstream, now)
+        host.note_dispatch(99, upstream, now)
+        host.note_crash(upstream, now)
+        crashes += 1
+        for peer in hosts:
+            peer.merge(host.suspects(now), now)
+    assert crashes <= 2
