--- /dev/null
+++ b/tests/unit/test_links.py
@@ -0,0 +1,94 @@
+"""Guards the share of a link against bursts and changes of the rate."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from hypothesis import given, strategies as st
+
+from samphirebend.links import LinkBudgets, LinkShare, wire_bytes
+from samphirebend.manifest import Manifest, Region
+
+SHARE: float = 1_000_000.0
+
+
+class Share:
+    """Fixed share of one shard."""
+
+    send_bytes_per_s = SHARE
+    receive_bytes_per_s = SHARE / 5
+
+
+def shares(manifest: Manifest, region: str, other: str) -> Mapping[str, LinkShare]:
+    return {"h1": Share(), "h2": Share()}
+
+
+def make_budgets(held: list[str]) -> tuple[LinkBudgets, Manifest]:
+    regions = [Region("a", 1, ["d"]), Region("b", 1, ["e"])]
+    manifest = Manifest("o", "latency", regions, [], [], [], [])
+    budgets = LinkBudgets("a", shares)
+    budgets.apply(manifest, held, 0.0)
+    return budgets, manifest
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 80_000), st.floats(0.0, 0.3), st.integers(0, 9)),
+        max_size=150,
+    )
+)
+def test_no_window_of_one_second_exceeds_the_share(
+    steps: list[tuple[int, float, int]],
+) -> None:
+    # Includes the change from one held shard to two and back to one, at which
+    # a bucket that is filled anew would pass a second burst.
+    budgets, manifest = make_budgets(["h1"])
+    now, sent, held = 0.0, [], 1
+    most = SHARE
+    for size, step_s, change in steps:
+        now += step_s
+        if change == 0 and budgets.backlog("b", now) == 0.0:
+            held = 3 - held
+            budgets.apply(manifest, ["h1", "h2"][:held], now)
+        most = max(most, held * SHARE)
+        delay = budgets.delay("b", min(size, budgets.piece_bytes("b")), now)
+        sent.append((now + delay, min(size, budgets.piece_bytes("b"))))
+    sent.sort()
+    for first, (start, _) in enumerate(sent):
+        window = [size for at, size in sent[first:] if at <= start + 1.0]
+        assert sum(wire_bytes(size) for size in window) <= most + 1
+
+
+def test_throughput_reaches_most_of_the_share() -> None:
+    # A bound that is kept by sending almost nothing would be useless.
+    budgets, _ = make_budgets(["h1"])
+    now, sent = 0.0, 0
+    while now < 10.0:
+        now += budgets.delay("b", 16_384, now)
+        sent += 16_384
+    assert sent >= 0.8 * 10 * SHARE
+
+
+def test_without_a_shard_nothing_may_be_sent() -> None:
+    budgets, _ = make_budgets([])
+    assert math.isinf(budgets.delay("b", 1, 1.0))
+    assert budgets.delay("a", 1, 1.0) == 0.0
+    assert math.isinf(budgets.delay("unknown", 1, 1.0))
+
+
+def test_backlog_reports_without_reserving() -> None:
+    budgets, _ = make_budgets(["h1"])
+    for _ in range(40):
+        budgets.delay("b", 16_384, 1.0)
+    backlog = budgets.backlog("b", 1.0)
+    assert backlog > 0.5
+    assert budgets.backlog("b", 1.0) == backlog
+
+
+def test_reading_has_its_own_bucket() -> None:
+    # Reads from callers of the other region must not use the sending share.
+    budgets, _ = make_budgets(["h1"])
+    while budgets.read_delay("b", 10_000, 1.0) < 1.0:
+        pass
+    assert budgets.delay("b", 10_000, 1.0) == 0.0
