Add routing: choice of upstream, peer and look-up host

Cause: the request path needs its decisions as pure functions. Ruled out: fading an old latency towards the plain mean of all samples: a test showed that one slow old sample kept its upstream out for good, since it dominated the mean itself. The mean now weighs samples by freshness. Change: choose_upstream, choose_peer, rank_hosts, RelayLog, ShiftLimiter and Room.

--- /dev/null
+++ b/samphirebend/room.py
@@ -0,0 +1,17 @@
+"""Room of one upstream, passed from `limits` to `routing`."""
+
+from __future__ import annotations
+
+
+class Room:
+    """Slots in use and slots allowed at one upstream of this host."""
+
+    __slots__ = ("in_flight", "limit", "upstream")
+
+    def __init__(self, upstream: str, in_flight: int, limit: int) -> None:
+        self.upstream = upstream
+        self.in_flight = in_flight  # requests
+        self.limit = limit  # requests, before any reduction while cold
+
+    def __repr__(self) -> str:
+        return f"Room({self.upstream!r}, {self.in_flight}, {self.limit})"
--- /dev/null
+++ b/tests/unit/test_routing.py
@@ -0,0 +1,152 @@
+"""Guards the choices of upstream, peer and look-up host."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+
+from hypothesis import given, strategies as st
+
+from samphirebend.room import Room
+from samphirebend.routing import (
+    HostOption,
+    PeerOption,
+    RelayLog,
+    RelayRequest,
+    ShiftLimiter,
+    choose_peer,
+    choose_upstream,
+    rank_hosts,
+)
+from samphirebend.upstreamstate import DispatchOutcome
+
+from .test_upstreamstate import make_states
+
+ANSWERED = DispatchOutcome.ANSWERED
+
+
+def make_request(own_free: int, size: int = 100, service: str = "s") -> RelayRequest:
+    return RelayRequest(service, size, True, "a", own_free, 10)
+
+
+def peer(host: str, region: str, free: int, delay_s: float = 0.02) -> PeerOption:
+    return PeerOption(host, region, free, 10, 1.0, delay_s, 0.0)
+
+
+def choose(
+    request: RelayRequest, options: list[PeerOption], measure: str, log: RelayLog
+) -> str | None:
+    shift = ShiftLimiter()
+    return choose_peer(request, options, log, shift, measure, 1.0, Random(1))
+
+
+def test_failing_fast_attracts_no_traffic() -> None:
+    # A broken upstream answers at once and has all slots free.
+    for measure in ("latency", "headroom"):
+        states = make_states(3)
+        for step in range(3):
+            states.note_outcome("u1", ANSWERED, step, step + 0.05)
+            states.note_outcome("u2", ANSWERED, step, step + 0.05)
+            states.note_outcome("u0", DispatchOutcome.FAILED, step, step + 0.001)
+        rooms = [Room("u0", 0, 3), Room("u1", 1, 3), Room("u2", 1, 3)]
+        chosen = {
+            choose_upstream(rooms, states, measure, 3.0, Random(seed))
+            for seed in range(20)
+        }
+        assert "u0" not in chosen
+
+
+def test_latency_takes_the_faster_and_headroom_the_emptier() -> None:
+    states = make_states(2)
+    for step in range(5):
+        states.note_outcome("u0", ANSWERED, step, step + 0.02)
+        states.note_outcome("u1", ANSWERED, step, step + 0.08)
+    rooms = [Room("u0", 1, 3), Room("u1", 0, 3)]
+    assert choose_upstream(rooms, states, "latency", 5.1, Random(1)) == "u0"
+    assert choose_upstream(rooms, states, "headroom", 5.1, Random(1)) == "u1"
+
+
+def test_slow_sample_fades() -> None:
+    # An upstream that was slow once would otherwise never be measured again.
+    states = make_states(2)
+    states.note_outcome("u0", ANSWERED, 0.0, 0.5)
+    rooms = [Room("u0", 0, 3), Room("u1", 1, 3)]
+    for now in range(1, 100):
+        states.note_outcome("u1", ANSWERED, now - 0.05, now)
+    assert choose_upstream(rooms, states, "latency", 99.0, Random(1)) == "u0"
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.integers(0, 4)), max_size=6),
+    st.sampled_from(["latency", "headroom"]),
+    st.integers(0, 100),
+)
+def test_chosen_upstream_has_a_slot(
+    sizes: list[tuple[int, int]], measure: str, seed: int
+) -> None:
+    # A choice beyond a slot count would be refused or break a cap.
+    states = make_states(6)
+    rooms = [Room(f"u{i}", used, limit) for i, (used, limit) in enumerate(sizes)]
+    chosen = choose_upstream(rooms, states, measure, 0.0, Random(seed))
+    free = {room.upstream for room in rooms if room.in_flight < room.limit}
+    assert chosen in free if free else chosen is None
+
+
+def test_peer_of_the_region_comes_first_and_then_the_nearest() -> None:
+    far, near, local = peer("f", "c", 9, 0.05), peer("n", "b", 1), peer("l", "a", 1)
+    log, request = RelayLog(), make_request(0)
+    assert choose(request, [far, near, local], "latency", log) == "l"
+    assert choose(request, [far, near], "latency", log) == "n"
+    assert choose(request, [peer("l", "a", 0)], "latency", log) is None
+    assert choose(make_request(1), [near, local], "latency", log) is None
+
+
+def test_own_relays_are_discounted() -> None:
+    # Until its next heartbeat a peer would look as free as before.
+    log, request = RelayLog(), make_request(0)
+    options = [peer("l", "a", 2, 0.001)]
+    for _ in range(2):
+        assert choose(request, options, "latency", log) == "l"
+        log.note_relay("l", "s", 1.0)
+    assert choose(request, options, "latency", log) is None
+
+
+def test_headroom_moves_only_small_requests_to_a_much_emptier_region() -> None:
+    log, options = RelayLog(), [peer("n", "b", 9)]
+    assert choose(make_request(2), options, "headroom", log) == "n"
+    assert choose(make_request(8), options, "headroom", log) is None
+    assert choose(make_request(2, size=10**7), options, "headroom", log) is None
+    assert choose(make_request(2), options, "latency", log) is None
+
+
+def test_shift_toward_a_region_is_ramped() -> None:
+    # A region that takes over another's traffic meets it with cold caches.
+    shift, counts = ShiftLimiter(), []
+    for second in range(12):
+        taken = sum(shift.take("b", second + step / 1000) for step in range(1000))
+        counts.append(taken)
+    assert counts[0] <= 40
+    assert counts[-1] >= 950
+    assert all(b <= 2.2 * a for a, b in pairwise(counts))
+
+
+def test_lookup_ranks_region_then_delay_and_leaves_out_stopping() -> None:
+    options = [
+        HostOption("far", False, 0.05, 9, 9, False),
+        HostOption("near", False, 0.02, 0, 9, False),
+        HostOption("own", True, 0.0, 0, 9, False),
+        HostOption("stopping", True, 0.0, 9, 9, True),
+    ]
+    assert rank_hosts(options, Random(1)) == ["own", "near", "far"]
+
+
+def test_lookup_weights_follow_free_slots() -> None:
+    options = [
+        HostOption("full", True, 0.0, 0, 10, False),
+        HostOption("half", True, 0.0, 5, 10, False),
+        HostOption("free", True, 0.0, 10, 10, False),
+    ]
+    rng = Random(1)
+    first = [rank_hosts(options, rng)[0] for _ in range(2000)]
+    assert first.count("full") > 0
+    assert 1.5 < first.count("free") / first.count("half") < 2.5
