Add the table service client, its stand-in and membership

Cause: leases and manifests need conditional rows, and routing needs to know which peers are live. Ruled out: automatic retries of the HTTP pool, because it can't tell whether a write took effect; counting revisions up for unconditional writes, because a repeated revision would look unchanged to another process. Change: store with write tokens, a second attempt only after a read, and a breaker; a process that speaks the needed subset of the DynamoDB protocol; membership that ignores outdated sequences and replaced incarnations.

--- /dev/null
+++ b/samphirebend/membership.py
@@ -0,0 +1,163 @@
+"""What is known of the peers, from their heartbeats and replies.
+
+`peers` feeds the messages in; `routing`, `lookup` and `leasekeeper` ask which
+hosts are live and what they reported last. Messages of one process may arrive
+out of order over a reopened link, and a frozen process may resume after its
+host was restarted, so older sequence numbers and replaced incarnations are
+ignored.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+from enum import Enum, unique
+from typing import Final
+
+from .wire import Heartbeat, HeartbeatReply, ServiceLoad, ShardLease
+
+# Three heartbeat intervals: one lost heartbeat does not make a peer silent.
+LIVE_S: Final = 1.5
+# Bounds the memory for a host that restarts again and again.
+MAX_REPLACED: Final = 256
+
+
+@unique
+class PeerState(Enum):
+    """Whether a peer was heard within `LIVE_S`."""
+
+    LIVE = "live"
+    SILENT = "silent"
+
+
+class PeerView:
+    """The last report of one incarnation of a peer."""
+
+    __slots__ = (
+        "drained_version",
+        "heard_at",
+        "host",
+        "incarnation",
+        "key_epoch",
+        "leaving",
+        "loads",
+        "manifest_version",
+        "sequence",
+        "shards",
+        "stopping",
+        "table_age_ms",
+    )
+
+    def __init__(self, host: str, incarnation: int, heard_at: float) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.heard_at = heard_at  # of the last heartbeat or reply
+        self.sequence = -1  # of the last heartbeat; -1: only replies heard
+        self.manifest_version = 0
+        self.drained_version = 0
+        self.key_epoch = 0
+        self.stopping = False
+        self.shards: list[ShardLease] = []
+        self.loads: dict[str, ServiceLoad] = {}  # by service
+        self.leaving: list[str] = []
+        self.table_age_ms = 0
+
+    def state(self, now: float) -> PeerState:
+        """Return whether the peer is live at a time."""
+        silent = now - self.heard_at > LIVE_S
+        return PeerState.SILENT if silent else PeerState.LIVE
+
+    def free(self, service: str) -> int:
+        """Return the free slots of a service in the last report."""
+        load = self.loads.get(service)
+        return load.free if load else 0
+
+    def total(self, service: str) -> int:
+        """Return all slots of a service in the last report."""
+        load = self.loads.get(service)
+        return load.total if load else 0
+
+
+class Membership:
+    """The peers of one host, by host name."""
+
+    __slots__ = ("_last_heard", "_own", "_replaced", "_views")
+
+    def __init__(self, own: str) -> None:
+        self._own = own  # name of this host, whose messages are ignored
+        self._views: dict[str, PeerView] = {}
+        # For each host its replaced incarnations, oldest first.
+        self._replaced: dict[str, dict[int, None]] = {}
+        self._last_heard = -math.inf
+
+    def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a report; return False if it is outdated and was ignored."""
+        view = self._admit(heartbeat.host, heartbeat.incarnation, now)
+        if view is None or heartbeat.sequence <= view.sequence:
+            return False
+        self._mark_heard(view, now)
+        view.sequence = heartbeat.sequence
+        view.manifest_version = max(view.manifest_version, heartbeat.manifest_version)
+        view.drained_version = heartbeat.drained_version
+        view.key_epoch = max(view.key_epoch, heartbeat.key_epoch)
+        view.stopping = heartbeat.stopping
+        view.shards = heartbeat.shards
+        view.loads = {load.service: load for load in heartbeat.loads}
+        view.leaving = heartbeat.leaving
+        view.table_age_ms = heartbeat.table_age_ms
+        return True
+
+    def note_reply(self, reply: HeartbeatReply, now: float) -> bool:
+        """Take a reply; return False if its sender was replaced."""
+        view = self._admit(reply.host, reply.incarnation, now)
+        if view is None:
+            return False
+        self._mark_heard(view, now)
+        view.manifest_version = max(view.manifest_version, reply.manifest_version)
+        view.key_epoch = max(view.key_epoch, reply.key_epoch)
+        return True
+
+    def peer(self, host: str) -> PeerView | None:
+        """Return what is known of a host, or None if it was never heard."""
+        return self._views.get(host)
+
+    def live(self, now: float) -> list[PeerView]:
+        """Return the peers heard within `LIVE_S`, sorted by name."""
+        names = sorted(self._views)
+        views = [self._views[name] for name in names]
+        return [view for view in views if view.state(now) is PeerState.LIVE]
+
+    def last_heard(self) -> float:
+        """Return when any peer was last heard; minus infinity: never."""
+        return self._last_heard
+
+    def was_replaced(self, host: str, incarnation: int) -> bool:
+        """Tell whether a later incarnation of the host has been heard."""
+        return incarnation in self._replaced.get(host, {})
+
+    def retain(self, hosts: Collection[str]) -> None:
+        """Forget the reports, not the replaced incarnations, of all other hosts."""
+        for host in [name for name in self._views if name not in hosts]:
+            del self._views[host]
+
+    def _admit(self, host: str, incarnation: int, now: float) -> PeerView | None:
+        if host == self._own or self.was_replaced(host, incarnation):
+            return None
+        view = self._views.get(host)
+        if view is not None and view.incarnation == incarnation:
+            return view
+        if view is not None:
+            self._remember_replaced(host, view.incarnation)
+        view = PeerView(host, incarnation, now)
+        self._views[host] = view
+        return view
+
+    def _remember_replaced(self, host: str, incarnation: int) -> None:
+        replaced = self._replaced.setdefault(host, {})
+        replaced[incarnation] = None
+        if len(replaced) > MAX_REPLACED:
+            del replaced[next(iter(replaced))]
+
+    def _mark_heard(self, view: PeerView, now: float) -> None:
+        view.heard_at = max(view.heard_at, now)
+        self._last_heard = max(self._last_heard, now)
--- /dev/null
+++ b/samphirebend/store.py
@@ -0,0 +1,487 @@
+"""Client of the platform's table service.
+
+`spread` and `leasekeeper` keep durable and agreed state in rows of one table
+through this module. Every write carries a random token, so that a write whose
+response was lost can be recognised by reading the row again.
+"""
+
+from __future__ import annotations
+
+import base64
+import math
+import secrets
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from enum import Enum, unique
+from typing import Any, Final, Protocol
+
+import msgspec
+import treq
+from loguru import logger
+from result import Err, Ok, Result
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from .options import Options
+
+TARGET_PREFIX: Final = "DynamoDB_20120810."
+MAX_CONNECTIONS: Final = 4
+# A write is sent at most twice: the second time when a read shows that the
+# first, whose response was lost, had no effect so far.
+WRITE_ATTEMPTS: Final = 2
+# Waits before the repetitions of a call that the service throttled.
+THROTTLE_WAITS_S: Final = (0.05, 0.2)
+# Consecutive calls without an answer after which calls fail at once.
+BREAKER_FAILURES: Final = 3
+# Interval of the calls that test whether the service answers again.
+BREAKER_PROBE_S: Final = 1.0
+
+Attribute = str | int | bytes
+
+
+@unique
+class StoreFault(Enum):
+    """Why a call failed.
+
+    CONFLICT: a condition did not hold and the row does not carry this write.
+    UNAVAILABLE: no answer; a write may have taken effect or may still do so.
+    """
+
+    CONFLICT = "CONFLICT"
+    UNAVAILABLE = "UNAVAILABLE"
+
+
+class Row:
+    """A row; the store sets the revision and the token of each write."""
+
+    __slots__ = ("attributes", "key", "revision", "token")
+
+    def __init__(
+        self, key: str, attributes: dict[str, Attribute], revision: int = 0
+    ) -> None:
+        self.key = key
+        self.attributes = attributes
+        self.revision = revision  # 0: not read from the table
+        self.token = ""  # of the write that left the row so
+
+    def text(self, name: str) -> str:
+        """Return a text attribute; empty if missing or of another type."""
+        value = self.attributes.get(name)
+        return value if isinstance(value, str) else ""
+
+    def number(self, name: str) -> int:
+        """Return an integer attribute; 0 if missing or of another type."""
+        value = self.attributes.get(name)
+        return value if isinstance(value, int) else 0
+
+    def data(self, name: str) -> bytes:
+        """Return a binary attribute; empty if missing or of another type."""
+        value = self.attributes.get(name)
+        return value if isinstance(value, bytes) else b""
+
+
+class RowWrite:
+    """A row to write, with the condition for it."""
+
+    __slots__ = ("expected_revision", "row")
+
+    def __init__(self, row: Row, expected_revision: int | None) -> None:
+        self.row = row
+        # 0: the row must not exist; None: no condition.
+        self.expected_revision = expected_revision
+
+
+class HttpAnswer:
+    """Status and body of an answer of the table service."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class TableCaller(Protocol):
+    """Sends one operation; fails with any exception if there is no answer."""
+
+    def call(self, operation: str, body: bytes) -> Awaitable[HttpAnswer]: ...
+
+    def close(self) -> Awaitable[None]: ...
+
+
+class HttpCaller:
+    """Sends operations over a pool of persistent connections."""
+
+    __slots__ = ("_client", "_clock", "_pool", "_timeout_s", "_url")
+
+    def __init__(self, url: str, timeout_s: float, reactor: Any) -> None:
+        self._url = url
+        self._timeout_s = timeout_s
+        self._clock = reactor
+        self._pool = HTTPConnectionPool(reactor)  # type: ignore[no-untyped-call]
+        self._pool.maxPersistentPerHost = MAX_CONNECTIONS
+        # The store decides itself which calls are safe to send again.
+        self._pool.retryAutomatically = False
+        agent: Any = Agent(  # type: ignore[no-untyped-call]
+            reactor, pool=self._pool, connectTimeout=timeout_s
+        )
+        self._client = HTTPClient(agent)
+
+    def call(self, operation: str, body: bytes) -> Awaitable[HttpAnswer]:
+        """Send an operation and wait for its whole answer."""
+        answer = Deferred.fromCoroutine(self._exchange(operation, body))
+        return answer.addTimeout(self._timeout_s, self._clock)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        pool: Any = self._pool
+        await pool.closeCachedConnections()
+
+    async def _exchange(self, operation: str, body: bytes) -> HttpAnswer:
+        headers = Headers(
+            {
+                "Content-Type": ["application/x-amz-json-1.0"],
+                "X-Amz-Target": [TARGET_PREFIX + operation],
+            }
+        )
+        response = await self._client.post(self._url, headers=headers, data=body)
+        return HttpAnswer(response.code, await treq.content(response))
+
+
+class Breaker:
+    """Lets only one call a second through while the service does not answer."""
+
+    __slots__ = ("_failures", "_next_probe")
+
+    def __init__(self) -> None:
+        self._failures = 0  # consecutive calls without an answer
+        self._next_probe = 0.0
+
+    def allow(self, now: float) -> bool:
+        """Tell whether a call may be sent; an allowed probe delays the next."""
+        if not self.is_open():
+            return True
+        if now < self._next_probe:
+            return False
+        self._next_probe = now + BREAKER_PROBE_S
+        return True
+
+    def note_answer(self) -> None:
+        """Close the breaker: the service answered."""
+        self._failures = 0
+
+    def note_failure(self, now: float) -> None:
+        """Count a call without an answer."""
+        self._failures += 1
+        self._next_probe = now + BREAKER_PROBE_S
+
+    def is_open(self) -> bool:
+        """Tell whether calls fail at once."""
+        return self._failures >= BREAKER_FAILURES
+
+
+class StoreCounts:
+    """Outcomes since the start, for metrics."""
+
+    __slots__ = (
+        "answers",
+        "conflicts",
+        "failed_fast",
+        "no_answer",
+        "resolved_by_read",
+        "throttled",
+    )
+
+    def __init__(self) -> None:
+        self.answers = 0  # calls that were answered, whatever the answer
+        self.conflicts = 0  # writes whose condition did not hold
+        self.failed_fast = 0  # calls not sent because the breaker was open
+        self.no_answer = 0  # calls that timed out or lost their connection
+        self.resolved_by_read = 0  # writes found by their token
+        self.throttled = 0  # calls over the service's own limit
+
+
+@unique
+class _Verdict(Enum):
+    """What one call came to."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    THROTTLED = "throttled"
+    REFUSED = "refused"
+    NO_ANSWER = "no answer"
+    NOT_SENT = "not sent"
+
+
+class _Called:
+    """The verdict on one call and the decoded answer if it was done."""
+
+    __slots__ = ("body", "verdict")
+
+    def __init__(self, verdict: _Verdict, body: dict[str, Any] | None = None) -> None:
+        self.verdict = verdict
+        self.body = body or {}
+
+
+class TableStore:
+    """Reads and conditional writes of the rows of one table."""
+
+    __slots__ = (
+        "_breaker",
+        "_caller",
+        "_clock",
+        "_last_answer_at",
+        "_now",
+        "_table",
+        "counts",
+    )
+
+    def __init__(
+        self,
+        caller: TableCaller,
+        table: str,
+        clock: IReactorTime,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._caller = caller
+        self._table = table
+        self._clock = clock
+        self._now = now
+        self._breaker = Breaker()
+        self._last_answer_at = -math.inf
+        self.counts = StoreCounts()
+
+    def start(self) -> None:
+        """Do nothing: connections open with the first call."""
+
+    async def stop(self) -> None:
+        """Close the idle connections."""
+        await self._caller.close()
+
+    def last_answer_at(self) -> float:
+        """Return when the service last answered; minus infinity: never."""
+        return self._last_answer_at
+
+    async def get(self, key: str) -> Result[Row | None, StoreFault]:
+        """Read a row as of now; None if there is none."""
+        called = await self._call(
+            "GetItem",
+            {
+                "TableName": self._table,
+                "Key": {"pk": {"S": key}},
+                "ConsistentRead": True,
+            },
+        )
+        if called.verdict is not _Verdict.DONE:
+            return Err(StoreFault.UNAVAILABLE)
+        item = called.body.get("Item")
+        if item is None:
+            return Ok(None)
+        try:
+            return Ok(_read_item(key, item))
+        except (KeyError, TypeError, ValueError) as exc:
+            logger.error("unreadable row {}: {}", key, exc)
+            return Err(StoreFault.UNAVAILABLE)
+
+    async def put(self, row: Row, expected_revision: int) -> Result[None, StoreFault]:
+        """Write a row if the table holds the revision (0: no such row).
+
+        On success the row has its new revision and token.
+        """
+        write = RowWrite(row, expected_revision)
+        return await self._write("PutItem", [write], self._put_body)
+
+    async def commit_rows(self, writes: Sequence[RowWrite]) -> Result[None, StoreFault]:
+        """Write all rows or none, in one transaction.
+
+        On success each row has its new revision and token.
+        """
+        return await self._write("TransactWriteItems", writes, self._transaction_body)
+
+    async def _write(
+        self,
+        operation: str,
+        writes: Sequence[RowWrite],
+        make_body: Callable[[Sequence[RowWrite], list[int], str], dict[str, Any]],
+    ) -> Result[None, StoreFault]:
+        token = secrets.token_hex(16)
+        revisions = [_next_revision(write) for write in writes]
+        body = make_body(writes, revisions, token)
+        unsure = False  # an earlier attempt may have taken effect
+        for _ in range(WRITE_ATTEMPTS):
+            verdict = (await self._call(operation, body)).verdict
+            unsure = unsure or verdict is _Verdict.NO_ANSWER
+            if unsure and verdict in (_Verdict.CONFLICT, _Verdict.NO_ANSWER):
+                found = await self._find_write(writes, token)
+                if found is None:
+                    break
+                if found:
+                    self.counts.resolved_by_read += 1
+                    verdict = _Verdict.DONE
+            if verdict is _Verdict.DONE:
+                _mark_written(writes, revisions, token)
+                return Ok(None)
+            if verdict is _Verdict.CONFLICT:
+                self.counts.conflicts += 1
+                return Err(StoreFault.CONFLICT)
+            if verdict is not _Verdict.NO_ANSWER:
+                break
+        return Err(StoreFault.UNAVAILABLE)
+
+    async def _find_write(self, writes: Sequence[RowWrite], token: str) -> bool | None:
+        """Tell whether a row carries the token; None if it cannot be read."""
+        conditional = [w for w in writes if w.expected_revision is not None]
+        probed = (conditional or list(writes))[0]
+        found = await self.get(probed.row.key)
+        if isinstance(found, Err):
+            return None
+        return found.ok_value is not None and found.ok_value.token == token
+
+    async def _call(self, operation: str, body: dict[str, Any]) -> _Called:
+        called = await self._call_once(operation, body)
+        for wait_s in THROTTLE_WAITS_S:
+            if called.verdict is not _Verdict.THROTTLED:
+                break
+            await deferLater(self._clock, wait_s)
+            called = await self._call_once(operation, body)
+        return called
+
+    async def _call_once(self, operation: str, body: dict[str, Any]) -> _Called:
+        if not self._breaker.allow(self._now()):
+            self.counts.failed_fast += 1
+            return _Called(_Verdict.NOT_SENT)
+        try:
+            answer = await self._caller.call(operation, msgspec.json.encode(body))
+        except (Exception, CancelledError) as exc:
+            logger.debug("table service: no answer to {}: {!r}", operation, exc)
+            return self._note_no_answer()
+        called = _judge(answer)
+        if called.verdict is _Verdict.NO_ANSWER:
+            return self._note_no_answer()
+        if called.verdict is _Verdict.REFUSED:
+            logger.error("table service refused {}: {}", operation, answer.status)
+        self.counts.throttled += called.verdict is _Verdict.THROTTLED
+        self.counts.answers += 1
+        self._breaker.note_answer()
+        self._last_answer_at = self._now()
+        return called
+
+    def _note_no_answer(self) -> _Called:
+        self.counts.no_answer += 1
+        self._breaker.note_failure(self._now())
+        return _Called(_Verdict.NO_ANSWER)
+
+    def _put_body(
+        self, writes: Sequence[RowWrite], revisions: list[int], token: str
+    ) -> dict[str, Any]:
+        return self._put(writes[0], revisions[0], token)
+
+    def _transaction_body(
+        self, writes: Sequence[RowWrite], revisions: list[int], token: str
+    ) -> dict[str, Any]:
+        pairs = zip(writes, revisions, strict=True)
+        puts = [self._put(write, revision, token) for write, revision in pairs]
+        return {"TransactItems": [{"Put": put} for put in puts]}
+
+    def _put(self, write: RowWrite, revision: int, token: str) -> dict[str, Any]:
+        attributes = write.row.attributes.items()
+        item = {name: _pack_attribute(value) for name, value in attributes}
+        item["pk"] = {"S": write.row.key}
+        item["revision"] = {"N": str(revision)}
+        item["token"] = {"S": token}
+        put: dict[str, Any] = {"TableName": self._table, "Item": item}
+        if write.expected_revision == 0:
+            put["ConditionExpression"] = "attribute_not_exists(pk)"
+        elif write.expected_revision is not None:
+            expected = {"N": str(write.expected_revision)}
+            put["ConditionExpression"] = "revision = :r"
+            put["ExpressionAttributeValues"] = {":r": expected}
+        return put
+
+
+def make_store(cfg: Options, reactor: Any) -> TableStore:
+    """Return the store for the table that the settings name."""
+    caller = HttpCaller(cfg.table_url, cfg.table_timeout_s, reactor)
+    return TableStore(caller, cfg.table_name, reactor)
+
+
+def _next_revision(write: RowWrite) -> int:
+    # Counting up from an unknown revision could repeat one that another
+    # process has read and would then wrongly find unchanged.
+    if write.expected_revision is None:
+        return secrets.randbits(52) + 1
+    return write.expected_revision + 1
+
+
+def _mark_written(writes: Sequence[RowWrite], revisions: list[int], token: str) -> None:
+    for write, revision in zip(writes, revisions, strict=True):
+        write.row.revision = revision
+        write.row.token = token
+
+
+def _judge(answer: HttpAnswer) -> _Called:
+    """Classify an answer; one that says nothing of the effect is no answer."""
+    if answer.status >= 500:
+        return _Called(_Verdict.NO_ANSWER)
+    try:
+        body = msgspec.json.decode(answer.body, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return _Called(_Verdict.NO_ANSWER)
+    if answer.status == 200:
+        return _Called(_Verdict.DONE, body)
+    kind = str(body.get("__type", "")).rpartition("#")[2]
+    if kind == "ConditionalCheckFailedException":
+        return _Called(_Verdict.CONFLICT)
+    if kind == "ProvisionedThroughputExceededException":
+        return _Called(_Verdict.THROTTLED)
+    if kind == "TransactionCanceledException":
+        reasons = body.get("CancellationReasons") or []
+        codes = {reason.get("Code") for reason in reasons}
+        conflict = "ConditionalCheckFailed" in codes
+        return _Called(_Verdict.CONFLICT if conflict else _Verdict.THROTTLED)
+    return _Called(_Verdict.REFUSED)
+
+
+def _pack_attribute(value: Attribute) -> dict[str, str]:
+    """Return the typed form of an attribute.
+
+    >>> _pack_attribute("a"), _pack_attribute(7), _pack_attribute(b"a")
+    ({'S': 'a'}, {'N': '7'}, {'B': 'YQ=='})
+    """
+    if isinstance(value, str):
+        return {"S": value}
+    if isinstance(value, int):
+        return {"N": str(value)}
+    return {"B": base64.b64encode(value).decode()}
+
+
+def _read_attribute(packed: dict[str, str]) -> Attribute:
+    """Return the attribute in a typed form; raise ValueError if unknown.
+
+    >>> _read_attribute({"S": "a"}), _read_attribute({"B": "YQ=="})
+    ('a', b'a')
+    """
+    ((kind, value),) = packed.items()
+    if kind == "S":
+        return value
+    if kind == "N":
+        return int(value)
+    if kind == "B":
+        return base64.b64decode(value, validate=True)
+    raise ValueError(f"attribute of type {kind}")
+
+
+def _read_item(key: str, item: dict[str, dict[str, str]]) -> Row:
+    attributes = {name: _read_attribute(packed) for name, packed in item.items()}
+    attributes.pop("pk", None)
+    revision = attributes.pop("revision")
+    token = attributes.pop("token", "")
+    if not isinstance(revision, int) or not isinstance(token, str):
+        raise ValueError("revision or token of a wrong type")
+    row = Row(key, attributes, revision)
+    row.token = token
+    return row
--- /dev/null
+++ b/tests/integration/test_store.py
@@ -0,0 +1,123 @@
+"""Guards the table client against lost answers, races and outages.
+
+The other side is the stand-in in a process of its own, over TCP.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import pytest
+from result import Err, Ok
+from twisted.internet.task import deferLater
+
+from samphirebend.options import Options
+from samphirebend.store import Row, RowWrite, StoreFault, TableStore, make_store
+
+from ..reactor import on_reactor, reactor
+from ..standins.launch import TableService
+
+
+@pytest.fixture(scope="module")
+def service() -> Iterator[TableService]:
+    with TableService() as running:
+        yield running
+
+
+def connect(service: TableService, timeout_s: float = 1.0) -> TableStore:
+    cfg = Options()
+    cfg.table_url = service.url
+    cfg.table_timeout_s = timeout_s
+    return make_store(cfg, reactor)
+
+
+@on_reactor
+async def test_put_is_conditional_on_the_revision(service: TableService) -> None:
+    store = connect(service)
+    assert await store.get("row#1") == Ok(None)
+    first = Row("row#1", {"name": "å", "count": 7, "body": b"\x00\xff"})
+    assert await store.put(first, 0) == Ok(None)
+    assert await store.put(Row("row#1", {}), 0) == Err(StoreFault.CONFLICT)
+    assert await store.put(Row("row#1", {}), 9) == Err(StoreFault.CONFLICT)
+    row = (await store.get("row#1")).unwrap()
+    assert row is not None
+    assert (row.revision, row.attributes) == (1, first.attributes)
+    assert await store.put(row, 1) == Ok(None)
+    assert row.revision == 2
+    await store.stop()
+
+
+@on_reactor
+async def test_transaction_writes_all_rows_or_none(service: TableService) -> None:
+    store = connect(service)
+    await store.put(Row("tx#1", {"n": 1}), 0)
+    both = [RowWrite(Row("tx#2", {}), None), RowWrite(Row("tx#1", {}), 0)]
+    assert await store.commit_rows(both) == Err(StoreFault.CONFLICT)
+    assert await store.get("tx#2") == Ok(None)
+    both[1].expected_revision = 1
+    assert await store.commit_rows(both) == Ok(None)
+    assert (await store.get("tx#2")).unwrap() is not None
+    await store.stop()
+
+
+@on_reactor
+async def test_lost_answer_is_resolved_by_reading(service: TableService) -> None:
+    """A write that took effect must not be told as a conflict or a fault."""
+
+    store = connect(service)
+    service.control(lose_answers=2)
+    row = Row("lost#1", {"n": 1})
+    assert await store.put(row, 0) == Ok(None)
+    writes = [RowWrite(row, row.revision), RowWrite(Row("lost#2", {}), None)]
+    assert await store.commit_rows(writes) == Ok(None)
+    assert store.counts.resolved_by_read == 2
+    found = (await store.get("lost#1")).unwrap()
+    assert found is not None
+    assert found.revision == row.revision == 2
+    await store.stop()
+
+
+@on_reactor
+async def test_breaker_fails_fast_and_recovers() -> None:
+    with TableService() as service:
+        store = connect(service, timeout_s=0.2)
+        await store.get("b#1")
+        service.control(delay_ms=600)
+        for _ in range(3):
+            assert await store.get("b#1") == Err(StoreFault.UNAVAILABLE)
+        started = time.monotonic()
+        assert await store.get("b#1") == Err(StoreFault.UNAVAILABLE)
+        assert time.monotonic() - started < 0.1
+        assert store.counts.failed_fast == 1
+        service.control(delay_ms=0, down=True)
+        await deferLater(reactor, 1.0)
+        assert await store.get("b#1") == Err(StoreFault.UNAVAILABLE)
+        service.control(down=False)
+        before = store.last_answer_at()
+        await deferLater(reactor, 1.05)
+        assert await store.get("b#1") == Ok(None)
+        assert store.last_answer_at() > before
+        await store.stop()
+
+
+@on_reactor
+async def test_throttled_writes_are_repeated_then_unavailable() -> None:
+    with TableService("--writes-per-s", "1") as service:
+        store = connect(service)
+        assert await store.put(Row("t#1", {}), 0) == Ok(None)
+        assert await store.put(Row("t#2", {}), 0) == Err(StoreFault.UNAVAILABLE)
+        assert store.counts.throttled == 3
+        assert await store.get("t#2") == Ok(None)
+        await store.stop()
+
+
+def test_list_of_upstreams_lags(service: TableService) -> None:
+    """Tests of drains rely on the list showing the state of some time ago."""
+    entry = {"address": "127.0.0.1", "port": 9, "serving": True, "terminating": False}
+    service.control(endpoints=[entry], list_lag_s=0)
+    (part,) = service.endpoint_slices()["items"]
+    assert part["ports"][0]["port"] == 9
+    assert part["endpoints"][0]["conditions"]["serving"] is True
+    service.control(list_lag_s=60)
+    assert service.endpoint_slices()["items"] == []
--- /dev/null
+++ b/tests/reactor.py
@@ -0,0 +1,39 @@
+"""Runs coroutine tests on the real reactor, with a time limit.
+
+pytest-twisted waits for the Deferred that a test returns.
+"""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, ParamSpec
+
+from twisted.internet import reactor as installed_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+TEST_TIMEOUT_S: Final = 10
+reactor: Any = installed_reactor
+P = ParamSpec("P")
+
+
+def on_reactor(
+    test: Callable[P, Coroutine[Any, Any, None]],
+) -> Callable[P, Deferred[None]]:
+    """Make a test function of a coroutine function."""
+
+    @functools.wraps(test)
+    def start(*args: P.args, **kwargs: P.kwargs) -> Deferred[None]:
+        waiting = Deferred.fromCoroutine(test(*args, **kwargs))
+        return waiting.addTimeout(TEST_TIMEOUT_S, reactor)
+
+    return start
+
+
+async def until(condition: Callable[[], bool], timeout_s: float = 5) -> None:
+    """Wait until a condition holds; fail the test if it does not in time."""
+    deadline = reactor.seconds() + timeout_s
+    while not condition():
+        assert reactor.seconds() < deadline, "condition did not become true"
+        await deferLater(reactor, 0.01)
--- /dev/null
+++ b/tests/standins/table_service.py
@@ -0,0 +1,241 @@
+"""Stand-in for the platform's table service and its list of upstreams.
+
+Serves the needed subset of DynamoDB's published JSON protocol and the
+EndpointSlice list format from one process, with faults that tests switch on
+through `POST /_control`. It prints its port as one JSON line when it is ready.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from typing import Any, Final
+
+from twisted.internet import reactor as installed_reactor
+from twisted.web.http import Request
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+TARGET_PREFIX: Final = "DynamoDB_20120810."
+ERROR_PREFIX: Final = "com.amazonaws.dynamodb.v20120810#"
+reactor: Any = installed_reactor
+
+Item = dict[str, dict[str, str]]
+
+
+class TableError(Exception):
+    """An error answer of the protocol."""
+
+    def __init__(self, kind: str, **extra: object) -> None:
+        super().__init__(kind)
+        self.body = {"__type": ERROR_PREFIX + kind, "message": kind, **extra}
+
+
+class Cap:
+    """Limit on operations a second with a burst of one second's worth."""
+
+    def __init__(self, per_second: float) -> None:
+        self.per_second = per_second
+        self.tokens = per_second
+        self.filled_at = reactor.seconds()
+
+    def take(self, amount: int) -> bool:
+        now = reactor.seconds()
+        gained = (now - self.filled_at) * self.per_second
+        self.tokens = min(self.per_second, self.tokens + gained)
+        self.filled_at = now
+        if self.tokens < amount:
+            return False
+        self.tokens -= amount
+        return True
+
+
+class Table:
+    """The rows of all tables and the operations on them."""
+
+    def __init__(self, reads_per_s: float, writes_per_s: float) -> None:
+        self.items: dict[tuple[str, str], Item] = {}
+        self.reads = Cap(reads_per_s)
+        self.writes = Cap(writes_per_s)
+
+    def run(self, operation: str, body: dict[str, Any]) -> dict[str, Any]:
+        if operation == "GetItem":
+            self._charge(self.reads, 1)
+            item = self.items.get((body["TableName"], body["Key"]["pk"]["S"]))
+            return {} if item is None else {"Item": item}
+        if operation == "PutItem":
+            self._charge(self.writes, 1)
+            if not self._holds(body):
+                raise TableError("ConditionalCheckFailedException")
+            self._store(body)
+            return {}
+        if operation == "TransactWriteItems":
+            puts = [entry["Put"] for entry in body["TransactItems"]]
+            self._charge(self.writes, len(puts))
+            holds = [self._holds(put) for put in puts]
+            if not all(holds):
+                codes = ["None" if ok else "ConditionalCheckFailed" for ok in holds]
+                reasons = [{"Code": code} for code in codes]
+                raise TableError(
+                    "TransactionCanceledException", CancellationReasons=reasons
+                )
+            for put in puts:
+                self._store(put)
+            return {}
+        raise TableError("UnknownOperationException")
+
+    def _charge(self, cap: Cap, amount: int) -> None:
+        if not cap.take(amount):
+            raise TableError("ProvisionedThroughputExceededException")
+
+    def _holds(self, put: dict[str, Any]) -> bool:
+        condition = put.get("ConditionExpression")
+        item = self.items.get((put["TableName"], put["Item"]["pk"]["S"]))
+        if condition is None:
+            return True
+        if condition == "attribute_not_exists(pk)":
+            return item is None
+        if condition == "revision = :r":
+            wanted = put["ExpressionAttributeValues"][":r"]
+            return item is not None and item.get("revision") == wanted
+        raise TableError("ValidationException")
+
+    def _store(self, put: dict[str, Any]) -> None:
+        self.items[put["TableName"], put["Item"]["pk"]["S"]] = put["Item"]
+
+
+class Faults:
+    """Faults that are switched on, and the platform's list of upstreams."""
+
+    def __init__(self) -> None:
+        self.delay_ms = 0
+        self.down = False
+        self.lose_answers = 0  # writes still to lose the answer of
+        self.list_lag_s = 0.0
+        self.lists: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
+
+    def change(self, fields: dict[str, Any]) -> None:
+        for name, value in fields.items():
+            if name == "endpoints":
+                self.lists.append((reactor.seconds(), value))
+            elif name in ("delay_ms", "down", "lose_answers", "list_lag_s"):
+                setattr(self, name, value)
+            else:
+                raise ValueError(f"no such fault: {name}")
+
+    def listed(self) -> list[dict[str, Any]]:
+        seen = reactor.seconds() - self.list_lag_s
+        return [endpoints for at, endpoints in self.lists if at <= seen][-1]
+
+
+def endpoint_slices(endpoints: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the EndpointSliceList of endpoints, one slice for each port."""
+    items = [
+        {
+            "metadata": {"name": f"upstreams-{port}"},
+            "addressType": "IPv4",
+            "ports": [{"name": "", "protocol": "TCP", "port": port}],
+            "endpoints": [
+                {
+                    "addresses": [entry["address"]],
+                    "conditions": {
+                        "ready": entry["serving"] and not entry["terminating"],
+                        "serving": entry["serving"],
+                        "terminating": entry["terminating"],
+                    },
+                }
+                for entry in endpoints
+                if entry["port"] == port
+            ],
+        }
+        for port in sorted({entry["port"] for entry in endpoints})
+    ]
+    return {
+        "apiVersion": "discovery.k8s.io/v1",
+        "kind": "EndpointSliceList",
+        "metadata": {},
+        "items": items,
+    }
+
+
+class Root(Resource):
+    """Answers every path."""
+
+    isLeaf = True
+
+    def __init__(self, table: Table) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.table = table
+        self.faults = Faults()
+        self.counts: dict[str, int] = {}
+
+    def count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def render_GET(self, request: Request) -> bytes:
+        if request.path == b"/_counts":
+            return answer(request, 200, self.counts)
+        if request.path == b"/endpointslices":
+            self.count("endpointslices")
+            return answer(request, 200, endpoint_slices(self.faults.listed()))
+        return answer(request, 404, {})
+
+    def render_POST(self, request: Request) -> bytes | int:
+        body = json.loads(request.content.read())  # type: ignore[union-attr]
+        if request.path == b"/_control":
+            self.faults.change(body)
+            return answer(request, 200, {})
+        if self.faults.down:
+            return self.drop(request)
+        target = request.getHeader("x-amz-target") or ""
+        operation = target.removeprefix(TARGET_PREFIX)
+        self.count(operation)
+        try:
+            status, result = 200, self.table.run(operation, body)
+        except TableError as exc:
+            status, result = 400, exc.body
+            self.count(str(exc))
+        if status == 200 and operation != "GetItem" and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return self.drop(request)
+        data = answer(request, status, result)
+        reactor.callLater(self.faults.delay_ms / 1000, finish, request, data)
+        return NOT_DONE_YET
+
+    def drop(self, request: Request) -> int:
+        self.count("dropped")
+        connection: Any = request.channel
+        connection.forceAbortClient()
+        return NOT_DONE_YET
+
+
+def answer(request: Any, status: int, body: object) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/x-amz-json-1.0")
+    return json.dumps(body).encode()
+
+
+def finish(request: Any, data: bytes) -> None:
+    # The client may have timed out and closed the connection meanwhile.
+    if request.channel is not None and not request._disconnected:
+        request.write(data)
+        request.finish()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--reads-per-s", type=float, default=2000)
+    parser.add_argument("--writes-per-s", type=float, default=400)
+    args = parser.parse_args()
+    root = Root(Table(args.reads_per_s, args.writes_per_s))
+    site = Site(root)  # type: ignore[no-untyped-call]
+    port = reactor.listenTCP(args.port, site, interface="127.0.0.1")
+    sys.stdout.write(json.dumps({"port": port.getHost().port}) + "\n")
+    sys.stdout.flush()
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
