Test links, freshness and lost writes; bound a clogged connection

Cause: the life cycle of links and the resolution of lost writes had been tested only on their usual paths. Ruled out: weakening the stall limit for tests; the tests move an injected clock instead. Change: tests with a silent, a clogged, a restarted and a wrong peer, with a delayed first write and with answers that come after a freeze; a connection that was aborted takes no more messages.

--- a/samphirebend/peers.py
+++ b/samphirebend/peers.py
@@ -47,9 +47,9 @@
 Respond = Callable[[Message], None]
 MessageHandler = Callable[[Any, Respond], None]
 HeartbeatFiller = Callable[[Heartbeat], None]
-HeartbeatListener = Callable[[Heartbeat, float], None]
+HeartbeatListener = Callable[[Heartbeat, float], object]
 ReplyFiller = Callable[[Heartbeat, HeartbeatReply, float], None]
-ReplyListener = Callable[[HeartbeatReply, float, float], None]
+ReplyListener = Callable[[HeartbeatReply, float, float], object]
 
 
 @implementer(IPushProducer)
@@ -88,6 +88,7 @@
         self._on_message = on_message
         self._on_lost = on_lost
         self._monitor = _SendMonitor()
+        self._aborted = False
         self.last_data_at = now()
 
     def connectionMade(self) -> None:
@@ -114,6 +115,8 @@
 
     def send(self, data: bytes) -> bool:
         """Queue an encoded message; close the connection if it is clogged."""
+        if self._aborted:
+            return False
         if len(data) > MAX_MESSAGE_BYTES:
             logger.error("message of {} bytes exceeds the limit", len(data))
             return False
@@ -128,6 +131,7 @@
 
     def abort(self) -> None:
         """Close at once; unsent data is dropped."""
+        self._aborted = True
         transport: Any = self.transport
         if transport is not None:
             transport.abortConnection()
@@ -540,7 +544,7 @@
         return heartbeat.sequence
 
 
-def _guarded(function: Callable[..., None], *arguments: Any) -> None:
+def _guarded(function: Callable[..., object], *arguments: Any) -> None:
     """Call a hook; a fault in one must not close the link or skip the others."""
     try:
         function(*arguments)
--- /dev/null
+++ b/tests/integration/test_peers.py
@@ -0,0 +1,189 @@
+"""Guards the links between hosts: stalls, restarts, wrong peers, waiting.
+
+Both ends are in this process and reach each other over loopback TCP.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from twisted.internet.protocol import Factory, Protocol
+
+from samphirebend.addresses import Address
+from samphirebend.manifest import Host
+from samphirebend.options import Options
+from samphirebend.peers import MAX_MESSAGE_BYTES, PeerService
+from samphirebend.wire import ReleaseReply, ReleaseRequest
+
+from ..reactor import on_reactor, reactor, until
+
+
+class Now:
+    """A monotonic clock that a test can move forward."""
+
+    def __init__(self) -> None:
+        self.offset_s = 0.0
+
+    def __call__(self) -> float:
+        return time.monotonic() + self.offset_s
+
+
+class SilentListener(Protocol):
+    """Accepts connections and keeps what arrives, without any answer."""
+
+    made = 0
+    lost = 0
+
+    def connectionMade(self) -> None:
+        SilentListener.made += 1
+
+    def connectionLost(self, reason: object = None) -> None:
+        SilentListener.lost += 1
+
+
+def make(name: str, port: int = 0, now: Any = time.monotonic) -> PeerService:
+    cfg = Options()
+    cfg.host = name
+    cfg.peer_address = Address("127.0.0.1", port)
+    cfg.heartbeat_s = 0.05
+    service = PeerService(cfg, 7, reactor, now)
+    service.start()
+    return service
+
+
+def host(name: str, peer: Address) -> Host:
+    unused = Address("127.0.0.1", 1)
+    return Host(name, "r", "d", unused, unused, peer, unused)
+
+
+@on_reactor
+async def test_replies_match_heartbeats_and_requests_are_answered() -> None:
+    first, second = make("a"), make("b")
+    heard: list[tuple[str, int, bool]] = []
+    released: list[ReleaseReply] = []
+    second.reply_fillers.append(
+        lambda heartbeat, reply, now: setattr(reply, "key_epoch", heartbeat.key_epoch)
+    )
+    first.heartbeat_fillers.append(lambda beat: setattr(beat, "key_epoch", 5))
+    first.reply_listeners.append(
+        lambda reply, sent, now: heard.append((reply.host, reply.key_epoch, sent < now))
+    )
+    second.on_message(
+        ReleaseRequest,
+        lambda request, respond: respond(ReleaseReply(request.shard, 3, True, "b")),
+    )
+    first.on_message(ReleaseReply, lambda reply, respond: released.append(reply))
+    first.set_peers([host("a", first.address()), host("b", second.address())])
+    await until(lambda: ("b", 5, True) in heard)
+    assert first.connected_hosts() == ["b"]  # no link to itself
+    assert first.send("b", ReleaseRequest("s", 3, "a"))
+    assert not first.send("c", ReleaseRequest("s", 3, "a"))
+    await until(lambda: [reply.granted for reply in released] == [True])
+    await first.stop()
+    await second.stop()
+
+
+@on_reactor
+async def test_notify_now_waits_for_live_peers_only() -> None:
+    now = Now()
+    first, second = make("a", now=now), make("b")
+    assert await first.notify_now(1.0)  # no peers
+    SilentListener.made = 0
+    silent = reactor.listenTCP(0, Factory.forProtocol(SilentListener))
+    silent_address = Address("127.0.0.1", silent.getHost().port)
+    first.set_peers([host("b", second.address())])
+    await until(lambda: first.connected_hosts() == ["b"])
+    assert await first.notify_now(1.0)
+    first.set_peers([host("b", second.address()), host("c", silent_address)])
+    await until(lambda: first.connected_hosts() == ["b", "c"])
+    assert not await first.notify_now(0.1)  # c counts as live until it stalls
+    await first.stop()
+    await second.stop()
+    await silent.stopListening()
+
+
+@on_reactor
+async def test_stalled_link_is_closed_and_reopened() -> None:
+    """A peer that accepts but never replies must not keep its link for ever."""
+    now = Now()
+    first = make("a", now=now)
+    SilentListener.made = SilentListener.lost = 0
+    silent = reactor.listenTCP(0, Factory.forProtocol(SilentListener))
+    first.set_peers([host("c", Address("127.0.0.1", silent.getHost().port))])
+    await until(lambda: SilentListener.made == 1)
+    now.offset_s += 2.1
+    await until(lambda: SilentListener.lost == 1 and SilentListener.made == 2)
+    await first.stop()
+    await silent.stopListening()
+
+
+@on_reactor
+async def test_clogged_link_is_closed() -> None:
+    """Messages for a peer that reads nothing must not pile up in memory."""
+    first = make("a")
+    SilentListener.made = SilentListener.lost = 0
+    silent = reactor.listenTCP(0, Factory.forProtocol(_NotReading))
+    first.set_peers([host("c", Address("127.0.0.1", silent.getHost().port))])
+    await until(lambda: first.connected_hosts() == ["c"])
+    request = ReleaseRequest("s" * 1_000_000, 1, "a")
+    sent = [first.send("c", request) for _ in range(40)]
+    assert sent.count(True) < 20
+    await until(lambda: SilentListener.made >= 2)
+    await first.stop()
+    await silent.stopListening()
+
+
+class _NotReading(SilentListener):
+    """Accepts connections and never reads from them."""
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        transport: Any = self.transport
+        transport.pauseProducing()
+
+
+@on_reactor
+async def test_link_survives_a_restart_of_the_peer() -> None:
+    first, second = make("a"), make("b")
+    replies: list[str] = []
+    first.reply_listeners.append(lambda reply, sent, now: replies.append(reply.host))
+    first.set_peers([host("b", second.address())])
+    await until(lambda: bool(replies))
+    port = second.address().port
+    await second.stop()
+    await until(lambda: first.connected_hosts() == [])
+    second = make("b", port)
+    replies.clear()
+    await until(lambda: bool(replies))
+    await first.stop()
+    await second.stop()
+
+
+@on_reactor
+async def test_replies_of_another_host_are_ignored() -> None:
+    """Grants of a process at a reused address must not count for the host."""
+    first, second = make("a"), make("b")
+    replies: list[str] = []
+    first.reply_listeners.append(lambda reply, sent, now: replies.append(reply.host))
+    heartbeats: list[int] = []
+    second.heartbeat_listeners.append(lambda beat, now: heartbeats.append(1))
+    first.set_peers([host("x", second.address())])
+    await until(lambda: len(heartbeats) > 3)
+    assert replies == []
+    await first.stop()
+    await second.stop()
+
+
+@on_reactor
+async def test_oversized_and_malformed_messages_do_no_harm() -> None:
+    first, second = make("a"), make("b")
+    first.set_peers([host("b", second.address())])
+    await until(lambda: first.connected_hosts() == ["b"])
+    (link,) = first._links.values()
+    before: Any = link.connection
+    before.send(b"junk")
+    before.transport.write((MAX_MESSAGE_BYTES + 1).to_bytes(4, "big"))
+    await until(lambda: link.connection is not None and link.connection is not before)
+    await first.stop()
+    await second.stop()
--- /dev/null
+++ b/tests/unit/test_spread.py
@@ -0,0 +1,170 @@
+"""Guards freshness and the order of versions, with a fake clock and table."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+from hypothesis import given, settings, strategies as st
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from samphirebend.addresses import Address
+from samphirebend.options import Options
+from samphirebend.peers import PeerService
+from samphirebend.spread import CommitFault, CommitFaultKind, SpreadService
+from samphirebend.store import Row, StoreFault
+from samphirebend.wire import Heartbeat, HeartbeatReply, ManifestReply, ManifestRequest
+
+from ..sample_manifest import manifest_text
+
+TEXT = manifest_text({"a": Address("127.0.0.1", 1234)})
+BODY = zlib.compress(TEXT.encode())
+
+
+class FakeStore:
+    """A table that is down, or whose writes have no answer."""
+
+    def __init__(self) -> None:
+        self.row: Row | None = None
+        self.reads_answered = False
+        self.gets = 0
+
+    async def get(self, key: str) -> Result[Row | None, StoreFault]:
+        self.gets += 1
+        return Ok(self.row) if self.reads_answered else Err(StoreFault.UNAVAILABLE)
+
+    async def commit_rows(self, writes: object) -> Result[None, StoreFault]:
+        return Err(StoreFault.UNAVAILABLE)
+
+    def last_answer_at(self) -> float:
+        return 0.0
+
+
+class Scene:
+    """A spread service whose peers and table are driven by the test."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        cfg = Options()
+        cfg.host = "a"
+        self.store = FakeStore()
+        store: Any = self.store
+        self.peers = PeerService(cfg, 1, self.clock, self.clock.seconds)
+        now = self.clock.seconds
+        self.spread = SpreadService(cfg, store, self.peers, self.clock, now)
+
+    def reply(self, version: int, sent_at: float) -> None:
+        reply = HeartbeatReply("b", 1, 1)
+        reply.manifest_version = version
+        self.peers.reply_listeners[0](reply, sent_at, self.clock.seconds())
+
+    def heartbeat(self, version: int) -> None:
+        heartbeat = Heartbeat("b", 1, 1)
+        heartbeat.manifest_version = version
+        self.peers.heartbeat_listeners[0](heartbeat, self.clock.seconds())
+
+    def manifest(self, version: int, body: bytes = BODY) -> None:
+        message = ManifestReply(version, body)
+        self.spread._take_manifest(message, lambda response: None)
+
+    def fresh(self) -> bool:
+        return self.spread.is_fresh(self.clock.seconds())
+
+
+def test_freshness_needs_a_recent_question() -> None:
+    """After a freeze, buffered replies and heartbeats must not count."""
+    scene = Scene()
+    assert not scene.fresh()
+    scene.reply(0, sent_at=0.0)
+    assert scene.fresh()
+    scene.clock.advance(3.5)
+    scene.reply(0, sent_at=0.1)
+    scene.heartbeat(0)
+    assert not scene.fresh()
+    scene.reply(0, sent_at=3.4)
+    assert scene.fresh()
+
+
+def test_not_fresh_until_the_highest_version_is_applied() -> None:
+    scene = Scene()
+    scene.reply(0, sent_at=0.0)
+    scene.heartbeat(4)
+    assert not scene.fresh()
+    scene.manifest(3)
+    assert not scene.fresh()
+    scene.manifest(4)
+    assert scene.fresh()
+
+
+def test_unusable_texts_are_refused_and_not_fetched_at_once_again() -> None:
+    scene = Scene()
+    scene.manifest(2, b"junk")
+    scene.manifest(2, zlib.compress(b"{}"))
+    scene.manifest(2, b"")
+    assert scene.spread.current() is None
+    scene.heartbeat(2)
+    for _ in range(5):
+        scene.heartbeat(2)
+    assert scene.store.gets == 1
+    scene.clock.advance(0.6)
+    scene.heartbeat(2)
+    assert scene.store.gets == 2
+
+
+def test_table_is_read_when_a_peer_does_not_supply_the_version() -> None:
+    scene = Scene()
+    sent: list[object] = []
+
+    def send(host: str, message: ManifestRequest) -> bool:
+        sent.append((host, message.version))
+        return True
+
+    peers: Any = scene.peers
+    peers.send = send
+    scene.store.reads_answered = True
+    scene.store.row = Row("manifest#0000000002", {"body": BODY})
+    scene.heartbeat(2)
+    assert sent == [("b", 2)]
+    assert scene.spread.version() == 0
+    scene.clock.advance(1.0)
+    assert scene.spread.version() == 2
+
+
+def test_request_for_an_unknown_version_is_answered_empty() -> None:
+    scene = Scene()
+    scene.manifest(2)
+    responses: list[Any] = []
+    scene.spread._take_request(ManifestRequest(1), responses.append)
+    scene.spread._take_request(ManifestRequest(3), responses.append)
+    assert [(r.version, bool(r.body)) for r in responses] == [(2, True), (3, False)]
+
+
+def test_commit_tells_whether_it_may_have_been_accepted() -> None:
+    scene = Scene()
+
+    def commit(text: str) -> CommitFault:
+        results: list[Result[int, CommitFault]] = []
+        waiting = Deferred.fromCoroutine(scene.spread.commit(text, 0, "c"))
+        waiting.addCallback(results.append)
+        return results[0].unwrap_err()
+
+    assert commit("{}").kind is CommitFaultKind.INVALID
+    assert not commit(TEXT).may_be_accepted
+    scene.store.reads_answered = True
+    fault = commit(TEXT)
+    assert fault.kind is CommitFaultKind.UNAVAILABLE
+    assert fault.may_be_accepted
+
+
+@given(st.lists(st.integers(1, 9), max_size=20))
+@settings(derandomize=True, deadline=None)
+def test_version_never_decreases(versions: list[int]) -> None:
+    scene = Scene()
+    applied: list[int] = []
+    scene.spread.subscribe(lambda in_force: applied.append(in_force.version))
+    for version in versions:
+        scene.manifest(version)
+        assert scene.spread.version() == max(applied)
+    assert applied == sorted(set(applied))
