Add metrics and the measurement of event loop lag

Cause: nothing in a daemon can be counted or watched yet. Ruled out: updating aioprometheus collectors on the request path, because the library encodes the labels as JSON on each update. Change: counts are kept in dictionaries and exported on rendering. The number of series per metric is bounded, because callers choose service names, and label values are escaped, which the library does not do.

--- /dev/null
+++ b/samphirebend/metrics.py
@@ -0,0 +1,326 @@
+"""Metrics of one daemon, counted in plain numbers and exported on rendering.
+
+The request path calls the typed methods, which only add to dictionaries; the
+aioprometheus collectors are filled when a collector asks for `/metrics`. The
+library encodes the labels as JSON on each update, which costs more than the
+request path can spend.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Callable
+from typing import Final
+
+from aioprometheus.collectors import Collector, Counter, Gauge, Histogram, Registry
+from aioprometheus.formats.text import TextFormatter
+from aioprometheus.histogram import Histogram as BucketCounts
+
+from .errorcodes import ErrorKind, Outcome
+
+PREFIX: Final = "samphirebend_"
+
+# Bounds the label sets of one metric, because callers choose some label values
+# (the service of a look-up) and rendering must stay below 50 ms. Each series of
+# a histogram renders up to 19 lines, so there are fewer.
+MAX_SERIES: Final = 150
+MAX_HISTOGRAM_SERIES: Final = 40
+OVERFLOW_LABEL: Final = "other"
+
+_DURATION_BOUNDS_S: Final = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    300.0,
+)
+_LAG_BOUNDS_S: Final = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0)
+_DRAIN_BOUNDS_S: Final = (0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0)
+
+LabelValues = tuple[str, ...]
+
+
+def escape_label(text: str) -> str:
+    r"""Escape a label value for the text format, which the library does not do.
+
+    >>> print(escape_label('a"b'))
+    a\"b
+    """
+    clean = text.encode("utf-8", "replace").decode()
+    return clean.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+class _Numbers:
+    """Values of one counter or gauge by label values."""
+
+    __slots__ = ("_collector", "_labels", "values")
+
+    def __init__(self, collector: Collector, labels: tuple[str, ...]) -> None:
+        self._collector = collector
+        self._labels = labels
+        self.values: dict[LabelValues, float] = {}
+
+    def add(self, key: LabelValues, amount: float = 1) -> None:
+        """Add to the value of the label values."""
+        values = self.values
+        if key in values:
+            values[key] += amount
+        else:
+            key = self._bounded(key)
+            values[key] = values.get(key, 0) + amount
+
+    def set(self, key: LabelValues, value: float) -> None:
+        """Replace the value of the label values."""
+        if key not in self.values:
+            key = self._bounded(key)
+        self.values[key] = value
+
+    def _bounded(self, key: LabelValues) -> LabelValues:
+        return key if len(self.values) < MAX_SERIES else (OVERFLOW_LABEL,) * len(key)
+
+    def export(self) -> None:
+        """Replace the collector's values by those counted so far."""
+        self._collector.values.clear()
+        for key, value in self.values.items():
+            labels = {
+                label: escape_label(text)
+                for label, text in zip(self._labels, key, strict=True)
+            }
+            self._collector.set_value(labels, value)
+
+
+class _Series:
+    """Bucket counts of one histogram for one set of label values."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self, size: int) -> None:
+        self.counts = [0] * size  # per bucket, not cumulative; the last is +Inf
+        self.total = 0.0
+
+
+class _Durations:
+    """A histogram of durations in seconds by one label or none."""
+
+    __slots__ = ("_bounds", "_collector", "_labels", "series")
+
+    def __init__(
+        self, collector: Collector, labels: tuple[str, ...], bounds: tuple[float, ...]
+    ) -> None:
+        self._collector = collector
+        self._labels = labels
+        self._bounds = bounds
+        self.series: dict[LabelValues, _Series] = {}
+
+    def observe(self, key: LabelValues, seconds: float) -> None:
+        """Count one duration."""
+        series = self.series.get(key)
+        if series is None:
+            if len(self.series) >= MAX_HISTOGRAM_SERIES:
+                key = (OVERFLOW_LABEL,) * len(key)
+            series = self.series.setdefault(key, _Series(len(self._bounds) + 1))
+        series.counts[bisect_left(self._bounds, seconds)] += 1
+        series.total += seconds
+
+    def export(self) -> None:
+        """Replace the collector's values by cumulative bucket counts."""
+        self._collector.values.clear()
+        for key, series in self.series.items():
+            exported = BucketCounts(*self._bounds)
+            running = 0
+            for bound, count in zip(exported.buckets, series.counts, strict=True):
+                running += count
+                exported.buckets[bound] = running
+            exported.observations = running
+            exported.sum = series.total
+            labels = {
+                label: escape_label(text)
+                for label, text in zip(self._labels, key, strict=True)
+            }
+            self._collector.set_value(labels, exported)
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._families: list[_Numbers | _Durations] = []
+        self._before_render: list[Callable[[], None]] = []
+        self._lookups = self._counter(
+            "lookups_total", "Look-ups answered, by service.", "service"
+        )
+        self._requests = self._counter(
+            "requests_total",
+            "Requests finished, by service and outcome.",
+            "service",
+            "outcome",
+        )
+        self._request_duration = self._histogram(
+            "request_duration_seconds",
+            "Time from the request's head to the end of its answer.",
+            _DURATION_BOUNDS_S,
+            "service",
+        )
+        self._retries = self._counter(
+            "retries_total", "Dispatches after the first of a request.", "service"
+        )
+        self._refusals = self._counter(
+            "refusals_total", "Error answers to callers, by error kind.", "kind"
+        )
+        self._region_free = self._gauge(
+            "region_free_ratio", "Free share of the region's cap, 0 to 1.", "region"
+        )
+        self._link_free = self._gauge(
+            "link_free_ratio",
+            "Free share of this host's part of a link, 0 to 1.",
+            "from_region",
+            "to_region",
+        )
+        self._drain_duration = self._histogram(
+            "drain_duration_seconds",
+            "Time from the start of a drain to nothing in flight.",
+            _DRAIN_BOUNDS_S,
+            "subject",
+        )
+        self._lag = self._histogram(
+            "event_loop_lag_seconds", "Lateness of a periodic timer.", _LAG_BOUNDS_S
+        )
+        self._lag_max = self._gauge(
+            "event_loop_lag_max_seconds", "Greatest lateness of the last minute."
+        )
+        self._measurement_age = self._gauge(
+            "measurement_age_seconds",
+            "Age of the newest load report of an upstream.",
+            "upstream",
+        )
+        self._manifest_version = self._gauge(
+            "manifest_version", "Manifest version in force, 0 for none."
+        )
+        self._table_calls = self._counter(
+            "table_calls_total",
+            "Calls to the table service, by operation and outcome.",
+            "operation",
+            "outcome",
+        )
+        self._leases_held = self._gauge(
+            "shard_leases_held", "Shards that this host may dispatch to."
+        )
+        self._peers_live = self._gauge(
+            "peers_live", "Other hosts heard from within 1.5 s."
+        )
+
+    def _counter(self, name: str, doc: str, *labels: str) -> _Numbers:
+        collector = Counter(PREFIX + name, doc, registry=self._registry)
+        return self._add_numbers(collector, labels)
+
+    def _gauge(self, name: str, doc: str, *labels: str) -> _Numbers:
+        collector = Gauge(PREFIX + name, doc, registry=self._registry)
+        return self._add_numbers(collector, labels)
+
+    def _add_numbers(self, collector: Collector, labels: tuple[str, ...]) -> _Numbers:
+        family = _Numbers(collector, labels)
+        if not labels:
+            family.set((), 0)
+        self._families.append(family)
+        return family
+
+    def _histogram(
+        self, name: str, doc: str, bounds: tuple[float, ...], *labels: str
+    ) -> _Durations:
+        collector = Histogram(
+            PREFIX + name, doc, registry=self._registry, buckets=bounds
+        )
+        family = _Durations(collector, labels, bounds)
+        self._families.append(family)
+        return family
+
+    def names(self) -> list[str]:
+        """Return the names of all metrics, sorted."""
+        return sorted(self._registry.collectors)
+
+    def before_render(self, update: Callable[[], None]) -> None:
+        """Call a function before each rendering, so that it can set gauges."""
+        self._before_render.append(update)
+
+    def count_lookup(self, service: str) -> None:
+        """Count one answered look-up."""
+        self._lookups.add((service,))
+
+    def count_request(self, service: str, outcome: Outcome, seconds: float) -> None:
+        """Count one finished request and its duration in seconds."""
+        # The attribute avoids the descriptor lookup of Enum.value.
+        self._requests.add((service, outcome._value_))
+        self._request_duration.observe((service,), seconds)
+
+    def count_retry(self, service: str) -> None:
+        """Count one dispatch after the first of a request."""
+        self._retries.add((service,))
+
+    def count_refusal(self, kind: ErrorKind) -> None:
+        """Count one error answer to a caller."""
+        self._refusals.add((kind._value_,))
+
+    def count_table_call(self, operation: str, outcome: str) -> None:
+        """Count one call to the table service, such as ("get", "ok")."""
+        self._table_calls.add((operation, outcome))
+
+    def observe_drain(self, subject: str, seconds: float) -> None:
+        """Count a finished drain of a "host", a "shard" or an "upstream"."""
+        self._drain_duration.observe((subject,), seconds)
+
+    def observe_lag(self, seconds: float) -> None:
+        """Count the lateness of one timer of the event loop."""
+        self._lag.observe((), seconds)
+
+    def set_lag_max(self, seconds: float) -> None:
+        """Set the greatest lateness of the last minute."""
+        self._lag_max.set((), seconds)
+
+    def set_region_free(self, region: str, ratio: float) -> None:
+        """Set the free share of a region's cap, 0 to 1."""
+        self._region_free.set((region,), ratio)
+
+    def set_link_free(self, from_region: str, to_region: str, ratio: float) -> None:
+        """Set the free share of this host's part of a link, 0 to 1."""
+        self._link_free.set((from_region, to_region), ratio)
+
+    def set_measurement_ages(self, ages_s: dict[str, float]) -> None:
+        """Replace the ages of all upstreams' reports, in seconds by upstream."""
+        self._measurement_age.values.clear()
+        for upstream, age_s in ages_s.items():
+            self._measurement_age.set((upstream,), age_s)
+
+    def set_manifest_version(self, version: int) -> None:
+        """Set the manifest version in force."""
+        self._manifest_version.set((), version)
+
+    def set_leases_held(self, count: int) -> None:
+        """Set the number of shards that this host may dispatch to."""
+        self._leases_held.set((), count)
+
+    def set_peers_live(self, count: int) -> None:
+        """Set the number of live peers."""
+        self._peers_live.set((), count)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text exposition of all metrics and its content type."""
+        for update in self._before_render:
+            update()
+        for family in self._families:
+            family.export()
+        formatter = TextFormatter()
+        return formatter.marshall(self._registry), formatter.get_headers()[
+            "Content-Type"
+        ]
