Add state dumps and the log set-up

Cause: operators need to see a daemon's state and its log without payloads. Ruled out: loguru's own JSON form, which writes some forty fields per record, and walking objects of other packages, which would reach sockets and the reactor. Change: dump.py converts state to plain data within limits on depth, length and number of values; logs.py writes human-readable or JSON lines and takes Twisted's log. Both leave out fields whose names say secret or payload.

--- /dev/null
+++ b/samphirebend/dump.py
@@ -0,0 +1,224 @@
+"""Conversion of state objects to plain data for `/v1/dump` and the log.
+
+`to_plain` dispatches on the type. A module whose state needs another form
+registers a function: `to_plain.register(Kind, fn)` with `fn(value, walk)`.
+Limits on depth, on the length of each part and on the number of values bound
+the time of a dump. Bytes appear as their length only, and fields whose names
+say that they hold secrets or payloads are left out.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping, Set as AbstractSet
+from enum import Enum
+from functools import singledispatch
+from itertools import islice
+from typing import Final
+
+MAX_DEPTH: Final = 8
+MAX_ITEMS: Final = 200
+MAX_TEXT_LENGTH: Final = 200
+# 4,000 values take about 16 ms, which leaves room below the 50 ms that one
+# step may take on the event loop.
+MAX_VALUES: Final = 4_000
+
+HIDDEN: Final = "(hidden)"
+CUT: Final = "(more)"
+_HIDDEN_PARTS: Final = frozenset(
+    (
+        *("authorization", "cookie", "credential", "credentials", "passphrase"),
+        *("key", "keys", "nonce", "password", "secret", "token", "tokens"),
+        *("bodies", "body", "content", "data", "digest", "headers", "payload"),
+        *("response", "text"),
+    )
+)
+# Fields that match a hidden part but hold no secret.
+_SHOWN_NAMES: Final = frozenset(("key_epoch", "max_body_bytes"))
+_OWN_PACKAGE: Final = __name__.partition(".")[0]
+
+
+def is_hidden(name: str) -> bool:
+    """Tell whether a field's name says that it holds a secret or a payload.
+
+    >>> is_hidden("_body"), is_hidden("table_token"), is_hidden("in_flight")
+    (True, True, False)
+    """
+    bare = name.strip("_").lower()
+    return bare not in _SHOWN_NAMES and not _HIDDEN_PARTS.isdisjoint(bare.split("_"))
+
+
+class Walk:
+    """Limits of one dump and what it has used of them."""
+
+    __slots__ = ("_depth", "_open", "_packages", "_values_left")
+
+    def __init__(
+        self, max_values: int = MAX_VALUES, packages: tuple[str, ...] = (_OWN_PACKAGE,)
+    ) -> None:
+        self._values_left = max_values
+        self._depth = 0
+        self._open: set[int] = set()  # identities of the containers being dumped
+        self._packages = packages  # whose objects are dumped field by field
+
+    def is_own(self, value: object) -> bool:
+        """Tell whether an object's class belongs to the dumped packages."""
+        return type(value).__module__.partition(".")[0] in self._packages
+
+    def visit(self, value: object) -> object:
+        """Return the plain form of a part, or a mark if a limit is reached."""
+        if self._values_left <= 0 or self._depth >= MAX_DEPTH:
+            return CUT
+        self._values_left -= 1
+        identity = id(value)
+        if identity in self._open:
+            return "(cycle)"
+        self._open.add(identity)
+        self._depth += 1
+        try:
+            return to_plain(value, self)
+        finally:
+            self._depth -= 1
+            self._open.discard(identity)
+
+    def spent(self) -> bool:
+        """Tell whether the limit on values is reached."""
+        return self._values_left <= 0
+
+
+def dump(value: object, walk: Walk | None = None) -> object:
+    """Return plain data that JSON can carry for any state object."""
+    return (walk or Walk()).visit(value)
+
+
+@singledispatch
+def to_plain(value: object, walk: Walk) -> object:
+    """Convert an object: own classes by their fields, others to a type name."""
+    if not walk.is_own(value) or isinstance(value, type) or callable(value):
+        return f"({type(value).__module__}.{type(value).__qualname__})"
+    fields: dict[str, object] = {}
+    for name in _field_names(value):
+        if walk.spent():
+            fields[CUT] = CUT
+            break
+        try:
+            part = getattr(value, name)
+        except AttributeError:  # a slot that was never set
+            continue
+        shown = name.strip("_")
+        fields[shown] = HIDDEN if is_hidden(name) else walk.visit(part)
+    return fields
+
+
+def _field_names(value: object) -> list[str]:
+    names: dict[str, None] = {}  # in order of definition, base classes first
+    for kind in reversed(type(value).__mro__):
+        slots = kind.__dict__.get("__slots__", ())
+        for name in (slots,) if isinstance(slots, str) else slots:
+            # Python mangles private slots to _Class__name.
+            if name.startswith("__") and not name.endswith("__"):
+                name = f"_{kind.__name__.lstrip('_')}{name}"
+            names[name] = None
+    names.update(dict.fromkeys(getattr(value, "__dict__", ())))
+    names.pop("__dict__", None)
+    names.pop("__weakref__", None)
+    return list(names)
+
+
+@to_plain.register
+def _(value: None, walk: Walk) -> None:
+    return None
+
+
+@to_plain.register
+def _(value: bool, walk: Walk) -> object:
+    return value
+
+
+@to_plain.register
+def _(value: int, walk: Walk) -> object:
+    # Greater numbers do not fit the JSON encoder.
+    if -(1 << 63) <= value < 1 << 64:
+        return int(value)
+    return f"(integer of {value.bit_length()} bits)"
+
+
+@to_plain.register
+def _(value: float, walk: Walk) -> object:
+    return float(value) if math.isfinite(value) else repr(value)
+
+
+@to_plain.register
+def _(value: str, walk: Walk) -> object:
+    cut = value[:MAX_TEXT_LENGTH].encode("utf-8", "replace").decode()
+    return cut if len(value) <= MAX_TEXT_LENGTH else f"{cut}{CUT}"
+
+
+@to_plain.register(bytes)
+@to_plain.register(bytearray)
+@to_plain.register(memoryview)
+def _(value: bytes | bytearray | memoryview, walk: Walk) -> object:
+    return f"({len(value)} bytes)"
+
+
+@to_plain.register
+def _(value: Enum, walk: Walk) -> object:
+    return value.name
+
+
+@to_plain.register
+def _(value: BaseException, walk: Walk) -> object:
+    # The message may quote a payload, so only the type is shown.
+    return f"({type(value).__qualname__})"
+
+
+@to_plain.register
+def _(value: Mapping, walk: Walk) -> object:  # type: ignore[type-arg]
+    fields: dict[str, object] = {}
+    for name, part in islice(value.items(), MAX_ITEMS):
+        if walk.spent():
+            break
+        shown = _name_of(name)
+        fields[shown] = HIDDEN if is_hidden(shown) else walk.visit(part)
+    if len(fields) < len(value):
+        fields[CUT] = f"{len(value)} in all"
+    return fields
+
+
+def _name_of(name: object) -> str:
+    if isinstance(name, Enum):
+        return name.name
+    if isinstance(name, tuple | frozenset):
+        parts = sorted(name, key=str) if isinstance(name, frozenset) else name
+        return "/".join(_name_of(part) for part in islice(parts, 8))
+    if isinstance(name, bytes):
+        return f"({len(name)} bytes)"
+    if not isinstance(name, str | int | float) and type(name).__str__ is object.__str__:
+        return f"({type(name).__qualname__})"
+    return str(name)[:MAX_TEXT_LENGTH].encode("utf-8", "replace").decode()
+
+
+@to_plain.register(list)
+@to_plain.register(tuple)
+@to_plain.register(deque)
+def _(value: list[object] | tuple[object, ...], walk: Walk) -> object:
+    return _items(value, len(value), walk)
+
+
+@to_plain.register
+def _(value: AbstractSet, walk: Walk) -> object:  # type: ignore[type-arg]
+    shown = _items(value, len(value), walk)
+    # Sets of texts iterate in another order in each process.
+    return sorted(shown, key=str)
+
+
+def _items(value: Iterable[object], length: int, walk: Walk) -> list[object]:
+    parts: list[object] = []
+    for part in islice(value, MAX_ITEMS):
+        if walk.spent():
+            break
+        parts.append(walk.visit(part))
+    if len(parts) < length:
+        parts.append(f"{CUT} {length} in all")
+    return parts
--- /dev/null
+++ b/samphirebend/logs.py
@@ -0,0 +1,153 @@
+"""Set-up of the log: loguru on standard error, human-readable or JSON lines.
+
+Modules log with `from loguru import logger` and bind fields such as
+request_id, service or host. Payloads stay out: fields whose names say that
+they hold one are dropped, bytes appear as their length, and tracebacks show
+no values of variables. Twisted's own log goes through the same output.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from types import TracebackType
+from typing import TYPE_CHECKING, Final, TextIO, cast
+
+import msgspec
+from loguru import logger
+from twisted.logger import (
+    ILogObserver,
+    LogBeginner,
+    LogEvent,
+    LogLevel,
+    formatEvent,
+    globalLogBeginner,
+)
+from zope.interface import implementer
+
+from .dump import Walk, dump, is_hidden
+
+if TYPE_CHECKING:
+    from loguru import Message, Record, RecordException
+
+MAX_MESSAGE_LENGTH: Final = 4_000
+MAX_TRACEBACK_LENGTH: Final = 8_000
+MAX_FIELD_VALUES: Final = 50
+
+_LEVELS: Final = {
+    # Twisted reports each listening port and each request at its level "info".
+    LogLevel.debug: "DEBUG",
+    LogLevel.info: "DEBUG",
+    LogLevel.warn: "WARNING",
+    LogLevel.error: "ERROR",
+    LogLevel.critical: "CRITICAL",
+}
+
+
+def set_up_logs(
+    level: str,
+    form: str,
+    host: str,
+    stream: TextIO,
+    beginner: LogBeginner | None = globalLogBeginner,
+) -> None:
+    """Send all log records to a stream; `form` is "human" or "json".
+
+    Call once per process, because Twisted's log can be started only once; pass
+    no beginner to leave it alone.
+    """
+    write = _json_line if form == "json" else _human_line
+
+    def sink(message: Message) -> None:
+        stream.write(write(message.record))
+        stream.flush()
+
+    logger.remove()
+    # Values of variables may be payloads or keys, so `diagnose` stays off.
+    logger.add(sink, level=level, format="{message}", diagnose=False, backtrace=False)
+    logger.configure(extra={"host": host})
+    if beginner is not None:
+        observer = cast(ILogObserver, TwistedObserver())
+        beginner.beginLoggingTo([observer], redirectStandardIO=False)
+
+
+def _fields(record: Record) -> dict[str, object]:
+    walk = Walk(MAX_FIELD_VALUES)
+    return {
+        name: dump(value, walk)
+        for name, value in record["extra"].items()
+        if not is_hidden(name)
+    }
+
+
+def _human_line(record: Record) -> str:
+    time = record["time"].strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
+    fields = " ".join(f"{name}={value}" for name, value in _fields(record).items())
+    level = record["level"].name
+    # A line break in a logged name must not start a forged record.
+    message = _one_line(f"{_message(record)} {fields}".rstrip())
+    line = f"{time} {level:<8} {record['name']}: {message}\n"
+    return line + _traceback(record["exception"])
+
+
+def _json_line(record: Record) -> str:
+    fields = _fields(record)
+    entry: dict[str, object] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "module": record["name"],
+        "message": _message(record),
+    }
+    for name, value in fields.items():
+        # A bound field must not replace one of the record's own.
+        entry[f"field_{name}" if name in entry else name] = value
+    trace = _traceback(record["exception"])
+    if trace:
+        entry["traceback"] = trace
+    return msgspec.json.encode(entry).decode() + "\n"
+
+
+def _message(record: Record) -> str:
+    text = record["message"][:MAX_MESSAGE_LENGTH]
+    return text.encode("utf-8", "replace").decode()
+
+
+def _one_line(text: str) -> str:
+    return "".join(
+        character if character.isprintable() else repr(character)[1:-1]
+        for character in text
+    )
+
+
+def _traceback(exception: RecordException | None) -> str:
+    if exception is None or exception.type is None:
+        return ""
+    lines = traceback.format_exception(
+        exception.type, exception.value, exception.traceback
+    )
+    text = "".join(lines)[-MAX_TRACEBACK_LENGTH:]
+    return text.encode("utf-8", "replace").decode()
+
+
+@implementer(ILogObserver)
+class TwistedObserver:
+    """Passes Twisted's log events and failures to the log."""
+
+    __slots__ = ()
+
+    def __call__(self, event: LogEvent) -> None:
+        """Log one event; an event that cannot be formatted is still logged."""
+        level = _LEVELS.get(event.get("log_level", LogLevel.info), "INFO")
+        message = formatEvent(event) or "event without a text"
+        failure = event.get("log_failure")
+        exception: (
+            tuple[type[BaseException], BaseException, TracebackType | None] | None
+        ) = None
+        if failure is not None:
+            exception = (failure.type, failure.value, failure.getTracebackObject())
+        namespace = str(event.get("log_namespace", "twisted"))
+        log: Callable[..., None] = (
+            logger.bind(source=namespace).opt(exception=exception).log
+        )
+        # The text is an argument, so that braces in it are not placeholders.
+        log(level, "{}", message)
