Add the admin HTTP interface

Cause: operators and metrics collectors need to reach a daemon. Ruled out: Twisted's own request class, which stores bodies above 100 kB in temporary files; the hosts have no disks. Change: a klein application with its service, on protocols for spread and a status function, so that it knows no other module. Errors are JSON. Conclusion: tested over loopback with a fake spread service.

--- /dev/null
+++ b/samphirebend/admin.py
@@ -0,0 +1,384 @@
+"""HTTP interface for operators and metrics collectors on the admin address.
+
+The klein application answers `/healthz`, `/metrics`, `/v1/dump`, `/v1/status`,
+`/v1/manifest` and `/v1/manifest/history`. It reaches the rest of the daemon
+through the kernel, the `Spread` protocol and a status function, all given by
+the daemon. Every error answer is JSON with the field `error`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from io import BytesIO
+from typing import Any, Final, Protocol, cast
+
+import msgspec
+from klein import Klein
+from loguru import logger
+from result import Err, Ok, Result
+from twisted.internet.defer import maybeDeferred
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+from twisted.web.http import Request as HttpRequest
+from twisted.web.iweb import IRequest
+from twisted.web.server import Request, Site
+from werkzeug.exceptions import HTTPException
+
+from .addresses import Address
+from .dump import dump
+from .jsonfile import Fault, Reader, describe
+from .kernel import Kernel
+from .manifest import MAX_MANIFEST_BYTES
+from .metrics import Metrics
+
+# JSON escapes make a committed text longer; the manifest's own limit is checked
+# on the text itself.
+MAX_BODY_BYTES: Final = 2 * MAX_MANIFEST_BYTES
+MAX_COMMIT_ID_LENGTH: Final = 64
+MAX_VERSION: Final = (1 << 63) - 1
+IDLE_TIMEOUT_S: Final = 60
+MAX_HISTORY: Final = 1_000
+
+JSON_TYPE: Final = "application/json"
+
+
+class InForce(Protocol):
+    """The manifest in force, as `spread` reports it."""
+
+    @property
+    def version(self) -> int: ...
+
+    @property
+    def text(self) -> str: ...
+
+
+class CommitFault(Protocol):
+    """Why a commit was not accepted; exactly one of three cases.
+
+    `faults` is not empty: the text is wrong. `current_version` is not None:
+    another commit came first. Otherwise the table service did not answer.
+    """
+
+    @property
+    def faults(self) -> Sequence[Fault]: ...
+
+    @property
+    def current_version(self) -> int | None: ...
+
+    @property
+    def may_have_been_accepted(self) -> bool: ...
+
+
+class Spread(Protocol):
+    """The part of `spread.SpreadService` that operators use."""
+
+    def current(self) -> InForce | None: ...
+
+    def is_fresh(self, now: float) -> bool: ...
+
+    async def commit(
+        self, text: str, base_version: int, commit_id: str
+    ) -> Result[int, Any]: ...
+
+    async def history(self) -> Result[Sequence[Any], Any]: ...
+
+    async def text_of(self, version: int) -> Result[str | None, Any]: ...
+
+
+class _BadRequestError(Exception):
+    """The query or body of a request is wrong."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("bad request")
+        self.faults = faults
+
+
+class AdminRequest(Request):
+    """A request whose body stays in memory and within the limit."""
+
+    # Twisted stores bodies above 100 kB in temporary files, and the hosts have
+    # no disks.
+    body_size = 0
+    content: BytesIO
+
+    def gotLength(self, length: int | None) -> None:
+        """Prepare for a body of the given length."""
+        self.content = BytesIO()
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep a part of the body unless the body is too large."""
+        self.body_size += len(data)
+        if self.body_size <= MAX_BODY_BYTES:
+            self.content.write(data)
+        else:
+            self.content = BytesIO()
+
+
+class _AdminSite(Site):
+    # Reads by collectors would otherwise fill the log.
+    noisy = False
+
+    def log(self, request: HttpRequest) -> None:
+        """Write no access log."""
+
+
+def _json(request: IRequest, status: int, value: object) -> bytes:
+    body = msgspec.json.encode(value)
+    http = cast(Any, request)
+    http.setResponseCode(status)
+    http.setHeader("Content-Type", JSON_TYPE)
+    http.setHeader("Cache-Control", "no-store")
+    return body + b"\n"
+
+
+def _error(request: IRequest, status: int, text: str, **fields: object) -> bytes:
+    return _json(request, status, {"error": text, **fields})
+
+
+def _fault_list(faults: Sequence[Fault]) -> list[dict[str, str]]:
+    return [
+        {
+            name: text.encode("utf-8", "replace").decode()
+            for name, text in (
+                ("path", fault.path),
+                ("expected", fault.expected),
+                ("found", fault.found),
+            )
+        }
+        for fault in faults
+    ]
+
+
+def _argument(request: IRequest, name: str) -> str | None:
+    values = cast(Any, request).args.get(name.encode())
+    return values[0].decode("utf-8", "replace") if values else None
+
+
+def _version_argument(request: IRequest) -> int | None:
+    text = _argument(request, "version")
+    if text is None:
+        return None
+    # int() alone would accept signs, spaces and underscores.
+    digits = text.isascii() and text.isdecimal() and len(text) <= 19
+    if not digits or not 0 < int(text) <= MAX_VERSION:
+        raise _BadRequestError([Fault("version", "a manifest version", text[:60])])
+    return int(text)
+
+
+class CommitRequest:
+    """Body of `POST /v1/manifest`."""
+
+    __slots__ = ("base_version", "commit_id", "text")
+
+    def __init__(self, text: str, base_version: int, commit_id: str) -> None:
+        self.text = text
+        self.base_version = base_version
+        self.commit_id = commit_id
+
+
+def read_commit_request(body: bytes) -> Result[CommitRequest, list[Fault]]:
+    """Check the body of a commit; return the request or all its faults."""
+    try:
+        data = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        return Err([Fault("(body)", "JSON", str(exc)[:200])])
+    if not isinstance(data, dict):
+        return Err([Fault("(body)", "an object", describe(data))])
+    faults: list[Fault] = []
+    reader = Reader(data, "", faults)
+    checked = CommitRequest(
+        reader.text("text", max_length=MAX_MANIFEST_BYTES),
+        reader.integer("base_version", 0, MAX_VERSION),
+        reader.text("commit_id", max_length=MAX_COMMIT_ID_LENGTH),
+    )
+    reader.finish()
+    return Err(faults) if faults else Ok(checked)
+
+
+class AdminApp:
+    """The klein application."""
+
+    app = Klein()
+
+    def __init__(
+        self,
+        reactor: Any,
+        kernel: Kernel,
+        metrics: Metrics,
+        spread: Spread,
+        status: Callable[[], object],
+    ) -> None:
+        self._reactor = reactor  # an IReactorTime
+        self._kernel = kernel
+        self._metrics = metrics
+        self._spread = spread
+        self._status = status
+
+    def resource(self) -> Any:
+        """Return the application as a twisted.web resource."""
+        return self.app.resource()
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(self, request: IRequest) -> bytes:
+        """Answer 200 while the event loop runs; the body tells more.
+
+        A host without a fresh manifest must not be restarted for it, because a
+        restart loses its leases and ledger and cures nothing.
+        """
+        in_force = self._spread.current()
+        fresh = self._spread.is_fresh(self._reactor.seconds())
+        answer = {
+            "status": "pass" if in_force is not None and fresh else "warn",
+            "manifest_version": in_force.version if in_force is not None else None,
+            "fresh": fresh,
+        }
+        return _json(request, 200, answer)
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request: IRequest) -> bytes:
+        """Answer all metrics in the text exposition format."""
+        body, content_type = self._metrics.render()
+        cast(Any, request).setHeader("Content-Type", content_type)
+        return body
+
+    @app.route("/v1/status", methods=["GET"])
+    def status(self, request: IRequest) -> bytes:
+        """Answer what the daemon's status function returns."""
+        return _json(request, 200, self._status())
+
+    @app.route("/v1/dump", methods=["GET"])
+    async def dump(self, request: IRequest) -> bytes:
+        """Answer the state of all services, or of the one that is named."""
+        wanted = _argument(request, "service")
+        names = self._kernel.names()
+        if wanted is not None and wanted not in names:
+            return _error(request, 404, "no such service", services=names)
+        services: dict[str, object] = {}
+        for name in names if wanted is None else [wanted]:
+            services[name] = self._dump_service(name)
+            # The limits hold for one service, so each gets a turn of the event
+            # loop of its own.
+            await deferLater(self._reactor, 0)
+        return _json(request, 200, {"services": services})
+
+    def _dump_service(self, name: str) -> object:
+        try:
+            return dump(self._kernel.find(name, object))
+        except Exception:
+            logger.exception("service cannot be dumped", service=name)
+            return "(not dumped, see the log)"
+
+    @app.route("/v1/manifest", methods=["GET"])
+    async def manifest(self, request: IRequest) -> bytes:
+        """Answer the manifest in force, or an earlier accepted version."""
+        version = _version_argument(request)
+        in_force = self._spread.current()
+        if version is None or (in_force is not None and in_force.version == version):
+            if in_force is None:
+                return _error(request, 503, "no manifest is in force yet")
+            answer = {"version": in_force.version, "text": in_force.text}
+            return _json(request, 200, answer)
+        found = await self._spread.text_of(version)
+        if isinstance(found, Err):
+            return _error(request, 503, "the table service does not answer")
+        if found.ok_value is None:
+            return _error(request, 404, "no such version")
+        return _json(request, 200, {"version": version, "text": found.ok_value})
+
+    @app.route("/v1/manifest", methods=["POST"])
+    async def commit(self, request: IRequest) -> bytes:
+        """Commit a manifest on condition that `base_version` is in force."""
+        if cast(AdminRequest, request).body_size > MAX_BODY_BYTES:
+            text = f"the body exceeds {MAX_BODY_BYTES} bytes"
+            return _error(request, 413, text)
+        checked = read_commit_request(cast(Any, request).content.read())
+        if isinstance(checked, Err):
+            raise _BadRequestError(checked.err_value)
+        wanted = checked.ok_value
+        log = logger.bind(commit_id=wanted.commit_id, base_version=wanted.base_version)
+        accepted = await self._spread.commit(
+            wanted.text, wanted.base_version, wanted.commit_id
+        )
+        if isinstance(accepted, Err):
+            log.info("manifest was not accepted")
+            return _commit_error(request, wanted.base_version, accepted.err_value)
+        log.bind(version=accepted.ok_value).info("manifest was accepted")
+        return _json(request, 200, {"version": accepted.ok_value})
+
+    @app.route("/v1/manifest/history", methods=["GET"])
+    async def history(self, request: IRequest) -> bytes:
+        """Answer the newest accepted versions, as `spread` reports them."""
+        found = await self._spread.history()
+        if isinstance(found, Err):
+            return _error(request, 503, "the table service does not answer")
+        entries = [dump(entry) for entry in found.ok_value[:MAX_HISTORY]]
+        return _json(request, 200, {"history": entries})
+
+    @app.handle_errors(_BadRequestError)
+    def bad_request(self, request: IRequest, failure: Failure) -> bytes:
+        """Answer a wrong query or body."""
+        faults = cast(_BadRequestError, failure.value).faults
+        return _error(request, 400, "bad request", faults=_fault_list(faults))
+
+    @app.handle_errors(HTTPException)
+    def not_routed(self, request: IRequest, failure: Failure) -> bytes:
+        """Answer an unknown path or method."""
+        exc = cast(HTTPException, failure.value)
+        return _error(request, exc.code or 500, exc.name.lower())
+
+    @app.handle_errors(Exception)
+    def failed(self, request: IRequest, failure: Failure) -> bytes:
+        """Answer an internal error; the log has the traceback."""
+        path = cast(Any, request).path.decode("utf-8", "replace")
+        logger.opt(exception=failure.value).error("admin request failed", path=path)
+        return _error(request, 500, "internal error")
+
+
+def _commit_error(request: IRequest, base_version: int, fault: CommitFault) -> bytes:
+    if fault.faults:
+        faults = _fault_list(fault.faults)
+        return _error(request, 400, "the manifest is wrong", faults=faults)
+    if fault.current_version is not None:
+        return _error(
+            request,
+            409,
+            "another manifest was accepted first",
+            base_version=base_version,
+            current_version=fault.current_version,
+        )
+    return _error(
+        request,
+        503,
+        "the table service does not answer",
+        may_have_been_accepted=fault.may_have_been_accepted,
+    )
+
+
+class AdminService:
+    """Listens on the admin address while started."""
+
+    __slots__ = ("_address", "_app", "_port", "_reactor")
+
+    def __init__(self, reactor: Any, address: Address, app: AdminApp) -> None:
+        self._reactor = reactor  # an IReactorTCP
+        self._address = address
+        self._app = app
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Start to listen; raise CannotListenError if the address is in use."""
+        site = cast(Any, _AdminSite)(
+            self._app.resource(),
+            requestFactory=AdminRequest,
+            timeout=IDLE_TIMEOUT_S,
+            parsePOSTFormSubmission=False,
+        )
+        self._port = self._reactor.listenTCP(
+            self._address.port, site, interface=self._address.ip
+        )
+
+    async def stop(self) -> None:
+        """Stop to listen; requests in progress are answered."""
+        port, self._port = self._port, None
+        if port is not None:
+            await maybeDeferred(port.stopListening)
--- /dev/null
+++ b/tests/unit/test_admin.py
@@ -0,0 +1,227 @@
+"""Guards the admin interface over real loopback connections."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Callable, Sequence
+from types import SimpleNamespace
+from typing import Any, TypeVar, cast
+
+import pytest
+import pytest_twisted  # type: ignore[import-untyped]
+import treq
+from result import Err, Ok, Result
+from twisted.internet import reactor
+
+from samphirebend import admin
+from samphirebend.addresses import Address
+from samphirebend.admin import AdminApp, AdminService
+from samphirebend.jsonfile import Fault
+from samphirebend.kernel import Kernel
+from samphirebend.metrics import Metrics
+
+TestType = TypeVar("TestType", bound=Callable[..., Any])
+
+
+def async_test(function: TestType) -> TestType:
+    """Run an async test on the reactor."""
+    return cast(TestType, pytest_twisted.ensureDeferred(function))
+
+
+def async_fixture(function: TestType) -> TestType:
+    """Run an async fixture on the reactor."""
+    return cast(TestType, pytest_twisted.async_yield_fixture(function))
+
+
+class FakeFault:
+    def __init__(
+        self,
+        faults: Sequence[Fault] = (),
+        current_version: int | None = None,
+        may_have_been_accepted: bool = False,
+    ) -> None:
+        self.faults = faults
+        self.current_version = current_version
+        self.may_have_been_accepted = may_have_been_accepted
+
+
+class FakeSpread:
+    """A spread service with two accepted versions and a prepared answer."""
+
+    def __init__(self) -> None:
+        self.texts = {6: "six", 7: "seven"}
+        self.answer: Result[int, FakeFault] = Ok(8)
+        self.commits: list[tuple[str, int, str]] = []
+        self.fresh = True
+        self.table_up = True
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def current(self) -> Any:
+        if not self.texts:
+            return None
+        version = max(self.texts)
+        return SimpleNamespace(version=version, text=self.texts[version])
+
+    def is_fresh(self, now: float) -> bool:
+        return self.fresh
+
+    async def commit(
+        self, text: str, base_version: int, commit_id: str
+    ) -> Result[int, FakeFault]:
+        self.commits.append((text, base_version, commit_id))
+        return self.answer
+
+    async def history(self) -> Result[list[dict[str, object]], str]:
+        if not self.table_up:
+            return Err("unavailable")
+        return Ok([{"version": 7, "commit_id": "c7"}])
+
+    async def text_of(self, version: int) -> Result[str | None, str]:
+        return Ok(self.texts.get(version)) if self.table_up else Err("unavailable")
+
+
+class Client:
+    def __init__(self, port: int, spread: FakeSpread) -> None:
+        self.base = f"http://127.0.0.1:{port}"
+        self.spread = spread
+
+    async def call(
+        self, path: str, body: object = None, method: str = ""
+    ) -> tuple[int, Any]:
+        method = method or ("GET" if body is None else "POST")
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        response = await treq.request(
+            method, self.base + path, data=data, timeout=5, persistent=False
+        )
+        return response.code, json.loads(await response.content())
+
+
+@async_fixture
+async def client() -> AsyncIterator[Client]:
+    kernel, spread = Kernel(), FakeSpread()
+    kernel.register("spread", spread)
+    app = AdminApp(reactor, kernel, Metrics(), spread, lambda: {"hosts": []})
+    service = AdminService(reactor, Address("127.0.0.1", 0), app)
+    service.start()
+    yield Client(service._port.getHost().port, spread)
+    await service.stop()
+
+
+@async_test
+async def test_reads(client: Client) -> None:
+    # Guards the success answers that the command-line tool and collectors read.
+    assert await client.call("/healthz") == (
+        200,
+        {"status": "pass", "manifest_version": 7, "fresh": True},
+    )
+    assert await client.call("/v1/status") == (200, {"hosts": []})
+    for path in ("/v1/manifest", "/v1/manifest?version=7"):
+        assert await client.call(path) == (200, {"version": 7, "text": "seven"})
+    assert await client.call("/v1/manifest?version=6") == (
+        200,
+        {"version": 6, "text": "six"},
+    )
+    assert await client.call("/v1/manifest/history") == (
+        200,
+        {"history": [{"version": 7, "commit_id": "c7"}]},
+    )
+    metrics = await treq.get(client.base + "/metrics", timeout=5, persistent=False)
+    assert "samphirebend_peers_live 0" in (await metrics.content()).decode()
+    # A service that belongs to another package is shown by its type only.
+    assert await client.call("/v1/dump?service=spread") == (
+        200,
+        {"services": {"spread": "(tests.unit.test_admin.FakeSpread)"}},
+    )
+
+
+@async_test
+async def test_failed_reads_are_json(client: Client) -> None:
+    # Guards against HTML error pages and internal errors on expected failures.
+    for path, status in (
+        ("/nothing", 404),
+        ("/v1/manifest?version=5", 404),
+        ("/v1/manifest?version=-1", 400),
+        ("/v1/manifest?version=99999999999999999999", 400),
+        ("/v1/dump?service=x", 404),
+    ):
+        code, answer = await client.call(path)
+        assert (code, bool(answer["error"])) == (status, True), path
+    assert (await client.call("/v1/status", method="PUT"))[0] == 405
+    client.spread.table_up = False
+    assert (await client.call("/v1/manifest/history"))[0] == 503
+    assert (await client.call("/v1/manifest?version=6"))[0] == 503
+    client.spread.texts.clear()
+    assert (await client.call("/v1/manifest"))[0] == 503
+    code, health = await client.call("/healthz")
+    assert (code, health["status"]) == (200, "warn")
+
+
+@async_test
+async def test_commit_answers(client: Client) -> None:
+    # Guards the four answers to a commit, on which operators' tools decide.
+    body = {"text": "{}", "base_version": 7, "commit_id": "c8"}
+    assert await client.call("/v1/manifest", body) == (200, {"version": 8})
+    assert client.spread.commits == [("{}", 7, "c8")]
+
+    client.spread.answer = Err(FakeFault(current_version=9))
+    code, answer = await client.call("/v1/manifest", body)
+    assert (code, answer["base_version"], answer["current_version"]) == (409, 7, 9)
+
+    fault = Fault("links", "a link", "none")
+    client.spread.answer = Err(FakeFault(faults=[fault, fault]))
+    code, answer = await client.call("/v1/manifest", body)
+    one = {"path": "links", "expected": "a link", "found": "none"}
+    assert (code, answer["faults"]) == (400, [one, one])
+
+    for uncertain in (True, False):
+        client.spread.answer = Err(FakeFault(may_have_been_accepted=uncertain))
+        code, answer = await client.call("/v1/manifest", body)
+        assert (code, answer["may_have_been_accepted"]) == (503, uncertain)
+
+
+@async_test
+async def test_wrong_commit_bodies_reach_no_commit(client: Client) -> None:
+    # Guards against a commit from a body that was only half understood.
+    for body, paths in (
+        (b"{", ["(body)"]),
+        (b"\xff", ["(body)"]),
+        (b"[" * 100_000, ["(body)"]),
+        ([], ["(body)"]),
+        ({"text": 1, "base_version": True}, ["text", "base_version", "commit_id"]),
+        (
+            {"text": "{}", "base_version": 7, "commit_id": "c", "force": True},
+            ["force"],
+        ),
+        ({"text": "{}", "base_version": -1, "commit_id": "c"}, ["base_version"]),
+        ({"text": "{}", "base_version": 1.5, "commit_id": "c" * 65}, None),
+    ):
+        code, answer = await client.call("/v1/manifest", body)
+        assert code == 400, body
+        found = [fault["path"] for fault in answer["faults"]]
+        assert found == (paths or ["base_version", "commit_id"])
+    assert client.spread.commits == []
+
+
+@async_test
+async def test_body_limit(client: Client, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the memory and that no body goes to a temporary file: the limit is
+    # above the 100 kB from which Twisted would use one.
+    monkeypatch.setattr(admin, "MAX_BODY_BYTES", 200_000)
+    monkeypatch.setattr("tempfile.TemporaryFile", None)
+    body = {"text": "x" * 150_000, "base_version": 7, "commit_id": "c"}
+    assert (await client.call("/v1/manifest", body))[0] == 200
+    body["text"] = "x" * 200_000
+    assert (await client.call("/v1/manifest", body))[0] == 413
+
+
+@async_test
+async def test_internal_error_is_json(client: Client) -> None:
+    # Guards against a traceback in an answer.
+    client.spread.answer = Ok(object())  # type: ignore[arg-type]
+    body = {"text": "{}", "base_version": 7, "commit_id": "c8"}
+    assert await client.call("/v1/manifest", body) == (500, {"error": "internal error"})
