Refuse more wrong settings and manifests, and report each fault once

Cause: tables of wrong files showed accepted and badly reported faults: null passed as an empty text, false or the first choice; a lone surrogate and very long numbers stopped the check with an exception; a nested file was quoted whole in its message; a host listed twice, or with an unknown failure domain, was also reported as missing; addresses with port 1 could be used twice; a repeated field was replaced by its last value without notice. Ruled out: rejecting repeated fields in the parser, which has no hook for it. Change: Reader tells null from a missing field, drops control characters and bounds the number and length of faults; a scan finds repeated fields; regions and failure domains have a highest number, since links are checked in pairs; service names are limited to what request paths carry; URLs may hold no user.

--- a/samphirebend/admin.py
+++ b/samphirebend/admin.py
@@ -187,7 +187,7 @@
     faults: list[Fault] = []
     reader = Reader(data, "", faults)
     checked = CommitRequest(
-        reader.text("text", max_length=MAX_MANIFEST_BYTES),
+        reader.text("text", max_length=MAX_MANIFEST_BYTES, lines=True),
         reader.integer("base_version", 0, MAX_VERSION),
         reader.text("commit_id", max_length=MAX_COMMIT_ID_LENGTH),
     )
--- a/samphirebend/jsonfile.py
+++ b/samphirebend/jsonfile.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -14,6 +15,19 @@
 from result import Err, Ok, Result
 
 MAX_FILE_BYTES: Final = 64 * 1024 * 1024
+MAX_DEPTH: Final = 32
+# Bounds the answer for a file in which everything is wrong.
+MAX_FAULTS: Final = 1_000
+MAX_FOUND_LENGTH: Final = 100
+
+_MISSING: Final = object()  # unlike None, which a file can hold as null
+_POSITION: Final = re.compile(r"near (\d+)")
+_TOKEN: Final = re.compile(
+    r"""//[^\n\r\u2028\u2029]* | /\*.*?\*/
+    | (?P<name> "(?:[^"\\]|\\.)*" | '(?:[^'\\]|\\.)*' | [^\s{}\[\]:,"'/]+ )
+    | (?P<mark> [{}:])""",
+    re.VERBOSE | re.DOTALL,
+)
 
 
 class Fault:
@@ -32,13 +46,81 @@
 
 def parse(text: str, max_bytes: int = MAX_FILE_BYTES) -> Result[Any, Fault]:
     """Parse JSON with comments; return the value or the fault that stops it."""
-    size = len(text.encode())
+    try:
+        size = len(text.encode())
+    except UnicodeEncodeError as exc:
+        found = f"half a surrogate pair on line {_line(text, exc.start)}"
+        return Err(Fault("(file)", "Unicode text", found))
     if size > max_bytes:
         return Err(Fault("(file)", f"at most {max_bytes} bytes", f"{size} bytes"))
     try:
-        return Ok(pyjson5.decode(text))
-    except (pyjson5.Json5Exception, ValueError, RecursionError) as exc:
-        return Err(Fault("(file)", "JSON with comments", str(exc)))
+        value = pyjson5.decode(text, MAX_DEPTH)
+    except pyjson5.Json5Exception as exc:
+        # The other arguments hold all that was read so far.
+        return Err(Fault("(file)", "JSON with comments", _cause(text, exc.args[0])))
+    except (ValueError, RecursionError) as exc:
+        return Err(Fault("(file)", "JSON with comments", shorten(str(exc))))
+    repeated = _repeated_field(text)
+    return Err(repeated) if repeated is not None else Ok(value)
+
+
+def _line(text: str, position: int) -> int:
+    return text.count("\n", 0, position) + 1
+
+
+def _cause(text: str, message: str) -> str:
+    match = _POSITION.search(message)
+    if match is None:
+        return shorten(message)
+    return f"line {_line(text, int(match[1]))}: {shorten(message)}"
+
+
+def _repeated_field(text: str) -> Fault | None:
+    """Return a fault for the first field that an object has twice, or None.
+
+    The parser keeps the last of them without notice. The text must be valid.
+
+    >>> str(_repeated_field("{a: 1, // a: 2\\n 'b': {a: 1}, \\"a\\": 3}"))
+    '(file): expected each field once in an object, found a again on line 2'
+    """
+    objects: list[set[str]] = []  # names seen in each open object
+    last = ""
+    for match in _TOKEN.finditer(text):
+        if match.lastgroup == "name":
+            last = match[0]
+        elif match.lastgroup == "mark":
+            if match[0] == "{":
+                objects.append(set())
+            elif match[0] == "}":
+                objects.pop()
+            else:
+                name = _field_name(last)
+                if name in objects[-1]:
+                    found = (
+                        f"{shorten(name)} again on line {_line(text, match.start())}"
+                    )
+                    return Fault("(file)", "each field once in an object", found)
+                objects[-1].add(name)
+    return None
+
+
+def _field_name(token: str) -> str:
+    if "\\" in token:
+        quoted = token if token[0] in "\"'" else f'"{token}"'
+        return str(pyjson5.decode(quoted))
+    return token[1:-1] if token[0] in "\"'" else token
+
+
+def shorten(text: str) -> str:
+    """Return a text that fits one line of a terminal, control characters escaped.
+
+    >>> print(shorten("a" + chr(10)))
+    a\\n
+    """
+    cut = text[:MAX_FOUND_LENGTH]
+    if not cut.isprintable():
+        cut = "".join(c if c.isprintable() else repr(c)[1:-1] for c in cut)
+    return cut if len(text) <= MAX_FOUND_LENGTH else f"{cut}..."
 
 
 def describe(value: object) -> str:
@@ -55,54 +137,84 @@
         return "true" if value else "false"
     if isinstance(value, str):
         return f'text "{value[:60]}"'
+    if isinstance(value, int) and value.bit_length() > 128:
+        # Python refuses to convert very long numbers to text.
+        return f"a number of {value.bit_length()} bits"
     if isinstance(value, (int, float)):
         return f"number {value}"
     return "a list" if isinstance(value, list) else "an object"
 
 
+_CLEAN: Final = "text without control characters or spaces at its ends"
+
+
+def _is_clean(text: str) -> bool:
+    # Names appear in HTTP headers, log lines and terminals.
+    return text.isprintable() and text == text.strip()
+
+
 class Reader:
     """Reads the fields of one JSON object and records faults by path."""
 
-    __slots__ = ("_data", "_path", "_seen", "faults")
+    __slots__ = ("_data", "_is_object", "_path", "_seen", "faults")
 
     def __init__(self, data: object, path: str, faults: list[Fault]) -> None:
         self.faults = faults  # shared by all readers of one file
         self._path = path
         self._seen: set[str] = set()  # fields that were asked for
         self._data: dict[str, Any] = {}
+        self._is_object = isinstance(data, dict)
         if isinstance(data, dict):
             self._data = data
         else:
-            self.faults.append(Fault(path or "(file)", "an object", describe(data)))
+            self._add(Fault(path or "(file)", "an object", describe(data)))
+
+    def _add(self, fault: Fault) -> None:
+        if len(self.faults) < MAX_FAULTS:
+            self.faults.append(fault)
 
     def path(self, field: str) -> str:
         """Return the full path of a field."""
         return f"{self._path}.{field}" if self._path else field
 
     def fault(self, field: str, expected: str, found: object) -> None:
-        """Record a fault of a field."""
-        text = found if isinstance(found, str) else describe(found)
-        self.faults.append(Fault(self.path(field), expected, text))
+        """Record a fault of a field, unless the whole object is one.
+
+        A text in `found` is shown as it is, other values by `describe`.
+        """
+        if self._is_object:
+            text = found if isinstance(found, str) else describe(found)
+            self._add(Fault(self.path(field), expected, shorten(text)))
 
     def _take(self, field: str, expected: str, default: object) -> Any:
+        """Return the value or the default; _MISSING if there is neither."""
         self._seen.add(field)
         if field in self._data:
             return self._data[field]
         if default is None:
             self.fault(field, expected, "nothing")
+            return _MISSING
         return default
 
     def text(
-        self, field: str, default: str | None = None, max_length: int = 253
+        self,
+        field: str,
+        default: str | None = None,
+        max_length: int = 253,
+        lines: bool = False,
     ) -> str:
-        """Return a non-empty text field, or the default."""
+        """Return a non-empty text field, or the default; `lines` allows breaks."""
         expected = f"text of 1 to {max_length} characters"
         value = self._take(field, expected, default)
-        if value is None:
+        if value is _MISSING:
             return ""
+        if default is not None and value == default:
+            return default
         if not isinstance(value, str) or not 0 < len(value) <= max_length:
-            if value != default:
-                self.fault(field, expected, value)
+            self.fault(field, expected, describe(value))
+            return default or ""
+        if not lines and not _is_clean(value):
+            self.fault(field, _CLEAN, describe(value))
             return default or ""
         return value
 
@@ -114,8 +226,8 @@
         value = self._take(field, expected, default)
         if value in choices:
             return str(value)
-        if value is not None:
-            self.fault(field, expected, value)
+        if value is not _MISSING:
+            self.fault(field, expected, describe(value))
         return choices[0]
 
     def integer(
@@ -130,33 +242,35 @@
             and low <= value <= high
         ):
             return value
-        if value is not None:
-            self.fault(field, expected, value)
-        return low
+        if value is not _MISSING:
+            self.fault(field, expected, describe(value))
+        return low if default is None else default
 
     def flag(self, field: str, default: bool | None = None) -> bool:
         """Return true or false."""
         value = self._take(field, "true or false", default)
         if isinstance(value, bool):
             return value
-        if value is not None:
+        if value is not _MISSING:
             self.fault(field, "true or false", value)
         return False
 
     def texts(self, field: str, default: list[str] | None = None) -> list[str]:
         """Return a list of non-empty texts."""
         value = self._take(field, "a list of texts", default)
-        if value is None:
+        if value is _MISSING:
             return []
         if not isinstance(value, list):
-            self.fault(field, "a list of texts", value)
+            self.fault(field, "a list of texts", describe(value))
             return []
         good = []
         for index, item in enumerate(value):
-            if isinstance(item, str) and item:
-                good.append(item)
+            if not isinstance(item, str) or not item:
+                self.fault(f"{field}[{index}]", "text", describe(item))
+            elif not _is_clean(item):
+                self.fault(f"{field}[{index}]", _CLEAN, describe(item))
             else:
-                self.fault(f"{field}[{index}]", "text", item)
+                good.append(item)
         return good
 
     def objects(
@@ -164,10 +278,10 @@
     ) -> Iterator[Reader]:
         """Yield a reader for each object of a list."""
         value = self._take(field, "a list of objects", default)
-        if value is None:
+        if value is _MISSING:
             return
         if not isinstance(value, list):
-            self.fault(field, "a list of objects", value)
+            self.fault(field, "a list of objects", describe(value))
             return
         for index, item in enumerate(value):
             yield Reader(item, f"{self.path(field)}[{index}]", self.faults)
@@ -177,4 +291,5 @@
         for field in self._data:
             if field not in self._seen:
                 known = ", ".join(sorted(self._seen))
-                self.fault(field, f"one of the fields {known}", "an unknown field")
+                expected = f"one of the fields {known}"
+                self.fault(shorten(field), expected, "an unknown field")
--- a/samphirebend/manifest.py
+++ b/samphirebend/manifest.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from typing import Final
 
 from result import Err, Ok, Result
@@ -22,8 +24,13 @@
 MAX_SLOTS: Final = 10_000
 MAX_CONNECTIONS: Final = 100_000
 MAX_MBIT_PER_S: Final = 10_000_000
+MAX_REGIONS: Final = 256
+MAX_FAILURE_DOMAINS: Final = 1_024  # of one region
 MEASURES: Final = ("headroom", "latency")
 
+# Service names stand in request paths and queries.
+_SERVICE_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+
 
 class Region:
     """A region with its cap on requests in flight and its failure domains."""
@@ -204,7 +211,7 @@
     blocks = _read_blocks(reader, {region.name for region in regions})
     reader.finish()
     manifest = Manifest(organisation, measure, regions, links, hosts, services, blocks)
-    _check_whole(reader, manifest)
+    _check_whole(reader, manifest, hosts)
     return Err(faults) if faults else Ok(manifest)
 
 
@@ -221,7 +228,7 @@
         """Read the field `name` and record a fault if it was used before."""
         name = reader.text("name", max_length=MAX_NAME_LENGTH)
         if name and name in self._seen:
-            reader.fault("name", f"a {self._what} name used once", name)
+            reader.fault("name", f"a name that no other {self._what} has", name)
         self._seen.add(name)
         return name
 
@@ -238,6 +245,9 @@
         )
         if not region.failure_domains:
             item.fault("failure_domains", "at least one failure domain", "none")
+        if len(region.failure_domains) > MAX_FAILURE_DOMAINS:
+            expected = f"at most {MAX_FAILURE_DOMAINS} failure domains"
+            item.fault("failure_domains", expected, len(region.failure_domains))
         for index, domain in enumerate(region.failure_domains):
             if domain in seen_domains:
                 path = f"failure_domains[{index}]"
@@ -247,6 +257,8 @@
         regions.append(region)
     if not regions:
         reader.fault("regions", "at least one region", "none")
+    if len(regions) > MAX_REGIONS:
+        reader.fault("regions", f"at most {MAX_REGIONS} regions", len(regions))
     return regions
 
 
@@ -280,19 +292,31 @@
     return name, domains.get(name, "")
 
 
+def _read_used_once(reader: Reader, field: str, used: set[Address]) -> Address:
+    """Read an address that others connect to and that nothing else has."""
+    before = len(reader.faults)
+    address = read_address(reader, field)
+    if len(reader.faults) > before:
+        return address
+    ip = ipaddress.IPv4Address(address.ip)
+    if ip.is_unspecified or ip.is_multicast:
+        reader.fault(field, "an address that others can connect to", str(address))
+    if address in used:
+        reader.fault(field, "an address used once", str(address))
+    used.add(address)
+    return address
+
+
 def _read_hosts(reader: Reader, domains: dict[str, str]) -> list[Host]:
     names = _Names("host")
     used: set[Address] = set()
     hosts = []
     for item in reader.objects("hosts"):
         domain, region = _read_domain(item, domains)
-        addresses = []
-        for field in ("entry", "relay", "peer", "admin"):
-            address = read_address(item, field)
-            if address in used and address.port != 1:
-                item.fault(field, "an address used once", str(address))
-            used.add(address)
-            addresses.append(address)
+        addresses = [
+            _read_used_once(item, field, used)
+            for field in ("entry", "relay", "peer", "admin")
+        ]
         hosts.append(Host(names.read(item), region, domain, *addresses))
         item.finish()
     if not hosts:
@@ -307,18 +331,15 @@
     services = []
     for item in reader.objects("services"):
         name = names.read(item)
-        if "/" in name or "?" in name:
-            item.fault("name", "a name without / or ?", name)
+        if name and _SERVICE_NAME.fullmatch(name) is None:
+            item.fault("name", "a name of A-Z, a-z, 0-9, '.', '_' and '-'", name)
         idempotent = item.flag("idempotent")
         timeout_ms = item.integer("timeout_ms", 10, 3_600_000)
         max_body = item.integer("max_body_bytes", 0, 1 << 40)
-        upstreams = []
-        for entry in item.objects("upstreams"):
-            upstream = _read_upstream(entry, name, domains, upstream_names)
-            if upstream.address in used and upstream.address.port != 1:
-                entry.fault("address", "an address used once", str(upstream.address))
-            used.add(upstream.address)
-            upstreams.append(upstream)
+        upstreams = [
+            _read_upstream(entry, name, domains, upstream_names, used)
+            for entry in item.objects("upstreams")
+        ]
         if not upstreams:
             item.fault("upstreams", "at least one upstream", "none")
         item.finish()
@@ -331,7 +352,11 @@
 
 
 def _read_upstream(
-    entry: Reader, service: str, domains: dict[str, str], names: _Names
+    entry: Reader,
+    service: str,
+    domains: dict[str, str],
+    names: _Names,
+    used: set[Address],
 ) -> Upstream:
     domain, region = _read_domain(entry, domains)
     slots = entry.integer("slots", 0, MAX_SLOTS)
@@ -343,7 +368,7 @@
         service,
         region,
         domain,
-        read_address(entry, "address"),
+        _read_used_once(entry, "address", used),
         slots,
         connections,
     )
@@ -355,7 +380,7 @@
     blocks = []
     for item in reader.objects("caller_blocks", []):
         block = CallerBlock(item.text("prefix"), item.text("region"))
-        if not _is_prefix(block.prefix):
+        if block.prefix and not _is_prefix(block.prefix):
             item.fault("prefix", "an IPv4 prefix such as 10.1.0.0/16", block.prefix)
         if block.region and block.region not in regions:
             item.fault("region", "a region of this manifest", block.region)
@@ -370,26 +395,26 @@
     >>> _is_prefix("10.1.0.0/16"), _is_prefix("10.1.0.1/16"), _is_prefix("x/8")
     (True, False, False)
     """
-    base, slash, length = text.partition("/")
-    parts = base.split(".")
-    if not slash or not length.isdecimal() or len(parts) != 4:
-        return False
-    if not all(part.isdecimal() and int(part) < 256 for part in parts):
+    try:
+        return str(ipaddress.IPv4Network(text)) == text
+    except ValueError:
         return False
-    bits = int(length)
-    value = int.from_bytes(bytes(int(part) for part in parts), "big")
-    return bits <= 32 and value & ((1 << (32 - bits)) - 1) == 0
 
 
-def _check_whole(reader: Reader, manifest: Manifest) -> None:
+def _check_whole(reader: Reader, manifest: Manifest, hosts: list[Host]) -> None:
     """Record faults that only show when all parts are seen together."""
-    names = sorted(manifest.regions)
+    names = sorted(manifest.regions)[:MAX_REGIONS]
     for index, region in enumerate(names):
         for other in names[index + 1 :]:
             if region and other and manifest.link(region, other) is None:
                 reader.fault("links", f"a link between {region} and {other}", "none")
+    # The manifest keeps one host of each name, so the list is looked at, and a
+    # host whose failure domain is unknown may stand in any region.
+    reached = {host.region for host in hosts}
+    if "" in reached:
+        return
     served = {upstream.region for upstream in manifest.upstreams.values()}
-    for region in sorted(served - {host.region for host in manifest.hosts.values()}):
+    for region in sorted(served - reached):
         if region:
             reader.fault(
                 "hosts", f"a host in region {region}, which has upstreams", "none"
--- a/samphirebend/options.py
+++ b/samphirebend/options.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Final
+from urllib.parse import urlsplit
 
 from result import Err, Ok, Result
 
@@ -11,6 +12,15 @@
 
 MAX_SETTINGS_BYTES: Final = 256 * 1024
 
+_ADDRESS_FIELDS: Final = (
+    "entry_address",
+    "relay_address",
+    "peer_address",
+    "admin_address",
+)
+# What `read_address` returns for a field with a fault.
+_UNREADABLE: Final = Address("0.0.0.0", 1)
+
 
 class Options:
     """Settings of one daemon; durations in seconds, sizes in bytes."""
@@ -64,10 +74,8 @@
     cfg.host = reader.text("host", max_length=63)
     cfg.region = reader.text("region", max_length=63)
     cfg.failure_domain = reader.text("failure_domain", max_length=63)
-    cfg.entry_address = read_address(reader, "entry_address")
-    cfg.relay_address = read_address(reader, "relay_address")
-    cfg.peer_address = read_address(reader, "peer_address")
-    cfg.admin_address = read_address(reader, "admin_address")
+    for field in _ADDRESS_FIELDS:
+        setattr(cfg, field, read_address(reader, field))
     cfg.seeds = _read_seeds(reader)
     cfg.table_url = _read_url(reader, "table_url", required=True)
     cfg.table_name = reader.text("table_name", cfg.table_name)
@@ -107,21 +115,38 @@
     text = reader.text(field, None if required else "")
     if not text:
         return ""
-    scheme, _, rest = text.partition("://")
-    if scheme not in ("http", "https") or not rest:
-        reader.fault(field, "an http or https URL", text)
+    if not _is_url(text) or (required and "?" in text):
+        # The text is not shown, because it may hold a password.
+        expected = "an http or https URL without user and fragment"
+        if required:
+            expected = "an http or https URL without user, query and fragment"
+        reader.fault(field, expected, "another text")
     return text.rstrip("/")
 
 
+def _is_url(text: str) -> bool:
+    """Tell whether a text can serve as base URL.
+
+    >>> _is_url("http://127.0.0.1:80/a"), _is_url("http://u@127.0.0.1/")
+    (True, False)
+    """
+    try:
+        parts = urlsplit(text)
+        valid_port = parts.port != 0
+    except ValueError:
+        return False
+    plain = "#" not in text and "@" not in parts.netloc
+    known = parts.scheme in ("http", "https") and bool(parts.hostname)
+    return known and plain and valid_port and " " not in text
+
+
 def _check_together(reader: Reader, cfg: Options) -> None:
-    addresses = [
-        cfg.entry_address,
-        cfg.relay_address,
-        cfg.peer_address,
-        cfg.admin_address,
-    ]
-    if len(set(addresses)) < len(addresses):
-        reader.fault("entry_address", "four different addresses", "one used twice")
+    used: set[Address] = set()
+    for field in _ADDRESS_FIELDS:
+        address = getattr(cfg, field)
+        if address in used and address != _UNREADABLE:
+            reader.fault(field, "an address used once", str(address))
+        used.add(address)
     if cfg.lease_s < 4 * cfg.heartbeat_s:
         reader.fault(
             "lease_ms",
--- /dev/null
+++ b/tests/unit/test_manifest.py
@@ -0,0 +1,277 @@
+"""Guards that each wrong manifest is refused with the path of its fault."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from samphirebend.jsonfile import MAX_FAULTS
+from samphirebend.manifest import MAX_MANIFEST_BYTES, read_manifest
+
+
+def good() -> dict[str, Any]:
+    """Return a valid manifest with two regions."""
+
+    def host(name: str, domain: str, last: int) -> dict[str, Any]:
+        ports = {"entry": 8000, "relay": 8001, "peer": 8002, "admin": 8003}
+        addresses = {k: f"10.0.0.{last}:{port}" for k, port in ports.items()}
+        return {"name": name, "failure_domain": domain, **addresses}
+
+    def upstream(name: str, domain: str, last: int) -> dict[str, Any]:
+        limits = {"slots": 3, "connections": 300}
+        address = f"10.1.0.{last}:80"
+        return {"name": name, "failure_domain": domain, "address": address, **limits}
+
+    return {
+        "format": 1,
+        "organisation": "linjeringsbyran",
+        "measure": "headroom",
+        "regions": [
+            {"name": "norra", "max_in_flight": 40, "failure_domains": ["Kiruna"]},
+            {"name": "södra", "max_in_flight": 40, "failure_domains": ["Malmö"]},
+        ],
+        "links": [{"between": ["norra", "södra"], "mbit_per_s": 280, "delay_ms": 35}],
+        "hosts": [host("norra-1", "Kiruna", 1), host("sodra-1", "Malmö", 2)],
+        "services": [
+            {
+                "name": "ledger",
+                "idempotent": False,
+                "timeout_ms": 2000,
+                "max_body_bytes": 65536,
+                "upstreams": [upstream("l1", "Kiruna", 1), upstream("l2", "Malmö", 2)],
+            }
+        ],
+        "caller_blocks": [{"prefix": "10.9.0.0/16", "region": "norra"}],
+    }
+
+
+def faults_of(text: str) -> list[tuple[str, str, str]]:
+    checked = read_manifest(text)
+    assert isinstance(checked, Err), "the manifest was accepted"
+    return [(f.path, f.expected, f.found) for f in checked.err_value]
+
+
+def changed(path: str, value: object) -> dict[str, Any]:
+    """Return a valid manifest with one part replaced, or removed for `...`."""
+    manifest = copy.deepcopy(good())
+    part: Any = manifest
+    *way, last = [int(key) if key.isdecimal() else key for key in path.split("/")]
+    for key in way:
+        part = part[key]
+    if value is ...:
+        del part[last]
+    else:
+        part[last] = value
+    return manifest
+
+
+def test_good_manifest_is_accepted() -> None:
+    # Guards against checks that refuse what operators need, such as comments,
+    # names with spaces or letters beyond ASCII, and a drained upstream.
+    manifest = changed("services/0/upstreams/0/slots", 0)
+    text = "// planned drain\n" + json.dumps(manifest, ensure_ascii=False)
+    checked = read_manifest("\ufeff" + text)
+    assert isinstance(checked, Ok)
+    assert checked.ok_value.hosts_of("södra") == ["sodra-1"]
+    assert read_manifest(json.dumps(changed("caller_blocks", ...))).is_ok()
+
+
+UPSTREAM = "services/0/upstreams/0"
+NAME = "text of 1 to 63 characters"
+CLEAN = "text without control characters or spaces at its ends"
+ONE_FAULT = [
+    # path to change, value, path, expected, found of the one fault
+    ("format", 2, "format", "a whole number from 1 to 1", "number 2"),
+    ("format", True, "format", "a whole number from 1 to 1", "true"),
+    ("organisation", ..., "organisation", NAME, "nothing"),
+    ("organisation", None, "organisation", NAME, "null"),
+    ("organisation", "", "organisation", NAME, 'text ""'),
+    ("organisation", "x" * 64, "organisation", NAME, f'text "{"x" * 60}"'),
+    ("organisation", "a\nb", "organisation", CLEAN, r'text "a\nb"'),
+    ("measure", None, "measure", "one of headroom, latency", "null"),
+    ("measure", "cost", "measure", "one of headroom, latency", 'text "cost"'),
+    ("extra", 1, "extra", "one of the fields", "an unknown field"),
+    ("x" * 200, 1, "x" * 100 + "...", "one of the fields", "an unknown field"),
+    ("links", [], "links", "a link between norra and södra", "none"),
+    ("caller_blocks", None, "caller_blocks", "a list of objects", "null"),
+    ("links/0/mbit_per_s", 0, "links[0].mbit_per_s", "a whole number", "number 0"),
+    ("links/0/mbit_per_s", 1.5, "links[0].mbit_per_s", "a whole", "number 1.5"),
+    ("links/0/delay_ms", -1, "links[0].delay_ms", "a whole number", "number -1"),
+    ("regions/0/max_in_flight", -4, "regions[0].max_in_flight", "a whole", "number -4"),
+    ("regions/0/max_in_flight", 0, "regions[0].max_in_flight", "a whole", "number 0"),
+    ("regions/0/max_in_flight", "9", "regions[0].max_in_flight", "a whole", 'text "9"'),
+    (
+        "regions/0/failure_domains",
+        ["Kiruna", "Malmö"],
+        "regions[1].failure_domains[0]",
+        "a failure domain name used once",
+        "Malmö",
+    ),
+    (
+        "regions/0/failure_domains",
+        ["Kiruna", 5],
+        "regions[0].failure_domains[1]",
+        "text",
+        "number 5",
+    ),
+    ("hosts/0/failure_domain", None, "hosts[0].failure_domain", NAME, "null"),
+    ("hosts/0/failure_domain", ["x"], "hosts[0].failure_domain", NAME, "a list"),
+    ("hosts/0/failure_domain", "Oslo", "hosts[0].failure_domain", "a failure", "Oslo"),
+    (
+        "hosts/1/name",
+        "norra-1",
+        "hosts[1].name",
+        "a name that no other host",
+        "norra-1",
+    ),
+    ("hosts/0/entry", "a:80", "hosts[0].entry", "an IPv4 address and port", "a:80"),
+    ("hosts/0/entry", "0.0.0.0:1", "hosts[0].entry", "an address that", "0.0.0.0:1"),
+    ("hosts/0/peer", "224.0.0.1:9", "hosts[0].peer", "an address that", "224.0.0.1:9"),
+    (
+        "hosts/1/entry",
+        "10.0.0.1:8000",
+        "hosts[1].entry",
+        "an address used once",
+        "10.0.0.1:8000",
+    ),
+    ("services", [], "services", "at least one service", "none"),
+    ("services/0/name", "a/b", "services[0].name", "a name of A-Z", "a/b"),
+    ("services/0/name", "..", "services[0].name", "a name of A-Z", ".."),
+    ("services/0/idempotent", None, "services[0].idempotent", "true or false", "null"),
+    ("services/0/idempotent", 0, "services[0].idempotent", "true or false", "number 0"),
+    ("services/0/timeout_ms", None, "services[0].timeout_ms", "a whole", "null"),
+    (
+        "services/0/timeout_ms",
+        float("nan"),
+        "services[0].timeout_ms",
+        "a whole number",
+        "number nan",
+    ),
+    (
+        "services/0/timeout_ms",
+        float("inf"),
+        "services[0].timeout_ms",
+        "a whole number",
+        "number inf",
+    ),
+    (
+        "services/0/max_body_bytes",
+        1 << 3000,
+        "services[0].max_body_bytes",
+        "a whole number",
+        "a number of 3001 bits",
+    ),
+    ("services/0/upstreams/0", 5, "services[0].upstreams[0]", "an object", "number 5"),
+    ("services/0/upstreams", [], "services[0].upstreams", "at least one", "none"),
+    (f"{UPSTREAM}/slots", -1, "services[0].upstreams[0].slots", "a whole", "number -1"),
+    (
+        f"{UPSTREAM}/connections",
+        2,
+        "services[0].upstreams[0].connections",
+        "at least its 3 slots",
+        "number 2",
+    ),
+    (
+        f"{UPSTREAM}/failure_domain",
+        "nowhere",
+        "services[0].upstreams[0].failure_domain",
+        "a failure domain of some region",
+        "nowhere",
+    ),
+    (f"{UPSTREAM}/name", "l2", "services[0].upstreams[1].name", "a name that", "l2"),
+    (
+        f"{UPSTREAM}/address",
+        "10.1.0.2:80",
+        "services[0].upstreams[1].address",
+        "an address used once",
+        "10.1.0.2:80",
+    ),
+    ("caller_blocks/0/region", "x", "caller_blocks[0].region", "a region of", "x"),
+    ("caller_blocks/0/prefix", None, "caller_blocks[0].prefix", "text of 1", "null"),
+    *(
+        ("caller_blocks/0/prefix", text, "caller_blocks[0].prefix", "an IPv4 pr", text)
+        for text in ("10.0.0.0", "10.0.0.1/8", "010.0.0.0/8", "10.0.0.0/33", "::/0")
+    ),
+    ("caller_blocks/0/prefix", "1.0.0.0/" + "9" * 99, None, "an IPv4 prefix", "1.0.0"),
+]
+
+
+@pytest.mark.parametrize(("where", "value", "path", "expected", "found"), ONE_FAULT)
+def test_one_fault(
+    where: str, value: object, path: str | None, expected: str, found: str
+) -> None:
+    # Guards against accepted faults, wrong paths, crashes, and one mistake that
+    # is reported as several.
+    faults = faults_of(json.dumps(changed(where, value)))
+    assert len(faults) == 1, faults
+    assert path in (faults[0][0], None)
+    assert faults[0][1].startswith(expected)
+    assert faults[0][2].startswith(found)
+
+
+def test_several_faults_are_reported_at_once() -> None:
+    # Guards operators against finding one fault per attempt.
+    manifest = changed("regions/0/max_in_flight", -1)
+    manifest["measure"] = "cost"
+    manifest["hosts"][1]["admin"] = "x"
+    manifest["links"][0]["between"] = ["norra", "oslo"]
+    assert [fault[0] for fault in faults_of(json.dumps(manifest))] == [
+        "measure",
+        "regions[0].max_in_flight",
+        "links[0].between[1]",
+        "hosts[1].admin",
+        "links",
+    ]
+    # The missing link is told as well, since the regions need one.
+    assert faults_of(json.dumps(changed("links", None))) == [
+        ("links", "a list of objects", "null"),
+        ("links", "a link between norra and södra", "none"),
+    ]
+
+
+def test_region_with_upstreams_needs_a_host() -> None:
+    # Guards against upstreams that no host may ever use.
+    manifest = good()
+    del manifest["hosts"][1]
+    (fault,) = faults_of(json.dumps(manifest))
+    assert fault == ("hosts", "a host in region södra, which has upstreams", "none")
+
+
+@pytest.mark.parametrize(
+    ("text", "expected", "found"),
+    [
+        ("", "JSON with comments", "line 1: No JSON data found near 0"),
+        ("{\n\n 'a': ]", "JSON with comments", "line 3: Expected"),
+        ("[" * 100_000, "JSON with comments", "line 1: Maximum nesting level"),
+        ('{"a": "\\ud800"}', "JSON with comments", "line 1: Expected"),
+        ('{\n"a": "\ud800"}', "Unicode text", "half a surrogate pair on line 2"),
+        (" " * (MAX_MANIFEST_BYTES + 1), "at most 16777216 bytes", "16777217 bytes"),
+        ("[]", "an object", "a list"),
+        (
+            '{"a": 1,\n"\\u0061": 2}',
+            "each field once in an object",
+            "a again on line 2",
+        ),
+        ("{a: [{b: 1, 'b': 2}]}", "each field once", "b again on line 1"),
+    ],
+)
+def test_unreadable_files(text: str, expected: str, found: str) -> None:
+    # Guards against crashes in the parser's error path, and against two values
+    # for one field of which the last would win without notice.
+    ((path, what, seen),) = faults_of(text)
+    assert path == "(file)"
+    assert what.startswith(expected)
+    assert seen.startswith(found)
+    assert len(seen) < 200
+
+
+def test_number_of_faults_is_bounded() -> None:
+    # Guards the answer's size when every part of a large file is wrong.
+    hosts = [{"failure_domain": None, "name": None}] * 2_000
+    assert len(faults_of(json.dumps(changed("hosts", hosts)))) == MAX_FAULTS
+    regions = [{"name": f"r{i}", "failure_domains": [f"d{i}"]} for i in range(3_000)]
+    assert len(faults_of(json.dumps(changed("regions", regions)))) == MAX_FAULTS
