Use the commit faults and history entries of spread in the admin interface

Change: the protocols have the fields of spread.CommitFault and spread.HistoryEntry; an earlier version's text is taken from the history. Conclusion: the admin tests pass with fakes of the same fields.

--- a/samphirebend/admin.py
+++ b/samphirebend/admin.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from enum import Enum
 from io import BytesIO
 from typing import Any, Final, Protocol, cast
 
@@ -37,7 +38,6 @@
 MAX_COMMIT_ID_LENGTH: Final = 64
 MAX_VERSION: Final = (1 << 63) - 1
 IDLE_TIMEOUT_S: Final = 60
-MAX_HISTORY: Final = 1_000
 
 JSON_TYPE: Final = "application/json"
 
@@ -53,20 +53,38 @@
 
 
 class CommitFault(Protocol):
-    """Why a commit was not accepted; exactly one of three cases.
+    """Why a commit was not confirmed, as `spread` reports it."""
 
-    `faults` is not empty: the text is wrong. `current_version` is not None:
-    another commit came first. Otherwise the table service did not answer.
-    """
+    @property
+    def kind(self) -> Enum: ...
 
     @property
     def faults(self) -> Sequence[Fault]: ...
 
     @property
-    def current_version(self) -> int | None: ...
+    def base_version(self) -> int: ...
+
+    @property
+    def current_version(self) -> int: ...
 
     @property
-    def may_have_been_accepted(self) -> bool: ...
+    def may_be_accepted(self) -> bool: ...
+
+
+class HistoryEntry(Protocol):
+    """An accepted version, as `spread` reports it."""
+
+    @property
+    def version(self) -> int: ...
+
+    @property
+    def commit_id(self) -> str: ...
+
+    @property
+    def committed_unix_ms(self) -> int: ...
+
+    @property
+    def text(self) -> str: ...
 
 
 class Spread(Protocol):
@@ -78,11 +96,11 @@
 
     async def commit(
         self, text: str, base_version: int, commit_id: str
-    ) -> Result[int, Any]: ...
+    ) -> Result[int, Any]:
+        """Return the accepted version or a `CommitFault`."""
 
-    async def history(self) -> Result[Sequence[Any], Any]: ...
-
-    async def text_of(self, version: int) -> Result[str | None, Any]: ...
+    async def history(self) -> Result[Any, Any]:
+        """Return the `HistoryEntry` list, newest first."""
 
 
 class _BadRequestError(Exception):
@@ -278,12 +296,15 @@
                 return _error(request, 503, "no manifest is in force yet")
             answer = {"version": in_force.version, "text": in_force.text}
             return _json(request, 200, answer)
-        found = await self._spread.text_of(version)
+        found = await self._spread.history()
         if isinstance(found, Err):
             return _error(request, 503, "the table service does not answer")
-        if found.ok_value is None:
-            return _error(request, 404, "no such version")
-        return _json(request, 200, {"version": version, "text": found.ok_value})
+        entries: Sequence[HistoryEntry] = found.ok_value
+        for entry in entries:
+            if entry.version == version:
+                answer = {"version": version, "text": entry.text}
+                return _json(request, 200, answer)
+        return _error(request, 404, "no such version among the newest")
 
     @app.route("/v1/manifest", methods=["POST"])
     async def commit(self, request: IRequest) -> bytes:
@@ -301,18 +322,26 @@
         )
         if isinstance(accepted, Err):
             log.info("manifest was not accepted")
-            return _commit_error(request, wanted.base_version, accepted.err_value)
+            return _commit_error(request, accepted.err_value)
         log.bind(version=accepted.ok_value).info("manifest was accepted")
         return _json(request, 200, {"version": accepted.ok_value})
 
     @app.route("/v1/manifest/history", methods=["GET"])
     async def history(self, request: IRequest) -> bytes:
-        """Answer the newest accepted versions, as `spread` reports them."""
+        """Answer the newest accepted versions without their texts."""
         found = await self._spread.history()
         if isinstance(found, Err):
             return _error(request, 503, "the table service does not answer")
-        entries = [dump(entry) for entry in found.ok_value[:MAX_HISTORY]]
-        return _json(request, 200, {"history": entries})
+        entries: Sequence[HistoryEntry] = found.ok_value
+        plain = [
+            {
+                "version": entry.version,
+                "commit_id": entry.commit_id,
+                "committed_unix_ms": entry.committed_unix_ms,
+            }
+            for entry in entries
+        ]
+        return _json(request, 200, {"history": plain})
 
     @app.handle_errors(_BadRequestError)
     def bad_request(self, request: IRequest, failure: Failure) -> bytes:
@@ -334,23 +363,23 @@
         return _error(request, 500, "internal error")
 
 
-def _commit_error(request: IRequest, base_version: int, fault: CommitFault) -> bytes:
-    if fault.faults:
+def _commit_error(request: IRequest, fault: CommitFault) -> bytes:
+    if fault.kind.value == "INVALID":
         faults = _fault_list(fault.faults)
         return _error(request, 400, "the manifest is wrong", faults=faults)
-    if fault.current_version is not None:
+    if fault.kind.value == "CONFLICT":
         return _error(
             request,
             409,
             "another manifest was accepted first",
-            base_version=base_version,
+            base_version=fault.base_version,
             current_version=fault.current_version,
         )
     return _error(
         request,
         503,
         "the table service does not answer",
-        may_have_been_accepted=fault.may_have_been_accepted,
+        may_have_been_accepted=fault.may_be_accepted,
     )
 
 
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
+from enum import Enum
 from types import SimpleNamespace
 from typing import Any, TypeVar, cast
 
@@ -33,16 +34,24 @@
     return cast(TestType, pytest_twisted.async_yield_fixture(function))
 
 
+class FakeKind(Enum):
+    """Same values as `spread.CommitFaultKind`."""
+
+    INVALID = "INVALID"
+    CONFLICT = "CONFLICT"
+    UNAVAILABLE = "UNAVAILABLE"
+
+
 class FakeFault:
-    def __init__(
-        self,
-        faults: Sequence[Fault] = (),
-        current_version: int | None = None,
-        may_have_been_accepted: bool = False,
-    ) -> None:
-        self.faults = faults
-        self.current_version = current_version
-        self.may_have_been_accepted = may_have_been_accepted
+    """Same fields as `spread.CommitFault`."""
+
+    def __init__(self, kind: FakeKind, **fields: Any) -> None:
+        self.kind = kind
+        self.base_version = 7
+        self.current_version = 0
+        self.faults: list[Fault] = []
+        self.may_be_accepted = False
+        self.__dict__.update(fields)
 
 
 class FakeSpread:
@@ -76,13 +85,14 @@
         self.commits.append((text, base_version, commit_id))
         return self.answer
 
-    async def history(self) -> Result[list[dict[str, object]], str]:
+    async def history(self) -> Result[list[Any], str]:
         if not self.table_up:
             return Err("unavailable")
-        return Ok([{"version": 7, "commit_id": "c7"}])
-
-    async def text_of(self, version: int) -> Result[str | None, str]:
-        return Ok(self.texts.get(version)) if self.table_up else Err("unavailable")
+        entries = [
+            SimpleNamespace(version=v, commit_id=f"c{v}", committed_unix_ms=9, text=t)
+            for v, t in sorted(self.texts.items(), reverse=True)
+        ]
+        return Ok(entries)
 
 
 class Client:
@@ -126,10 +136,9 @@
         200,
         {"version": 6, "text": "six"},
     )
-    assert await client.call("/v1/manifest/history") == (
-        200,
-        {"history": [{"version": 7, "commit_id": "c7"}]},
-    )
+    code, answer = await client.call("/v1/manifest/history")
+    newest = {"version": 7, "commit_id": "c7", "committed_unix_ms": 9}
+    assert (code, answer["history"][0], len(answer["history"])) == (200, newest, 2)
     metrics = await treq.get(client.base + "/metrics", timeout=5, persistent=False)
     assert "samphirebend_peers_live 0" in (await metrics.content()).decode()
     # A service that belongs to another package is shown by its type only.
@@ -168,18 +177,19 @@
     assert await client.call("/v1/manifest", body) == (200, {"version": 8})
     assert client.spread.commits == [("{}", 7, "c8")]
 
-    client.spread.answer = Err(FakeFault(current_version=9))
+    client.spread.answer = Err(FakeFault(FakeKind.CONFLICT, current_version=9))
     code, answer = await client.call("/v1/manifest", body)
     assert (code, answer["base_version"], answer["current_version"]) == (409, 7, 9)
 
     fault = Fault("links", "a link", "none")
-    client.spread.answer = Err(FakeFault(faults=[fault, fault]))
+    client.spread.answer = Err(FakeFault(FakeKind.INVALID, faults=[fault, fault]))
     code, answer = await client.call("/v1/manifest", body)
     one = {"path": "links", "expected": "a link", "found": "none"}
     assert (code, answer["faults"]) == (400, [one, one])
 
     for uncertain in (True, False):
-        client.spread.answer = Err(FakeFault(may_have_been_accepted=uncertain))
+        refusal = FakeFault(FakeKind.UNAVAILABLE, may_be_accepted=uncertain)
+        client.spread.answer = Err(refusal)
         code, answer = await client.call("/v1/manifest", body)
         assert (code, answer["may_have_been_accepted"]) == (503, uncertain)
 
