--- /dev/null
+++ b/tests/standins/upstream.py
@@ -0,0 +1,475 @@
+"""Upstream stand-in: counts what arrives and records what truly ran.
+
+One process serves many upstreams. Tests take their verdict from `GET /counts`
+and `GET /ledger` on the control port, never from what the daemons report.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import base64
+import collections
+import hashlib
+import random
+import signal
+import socket
+import struct
+import time
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import msgspec
+
+from .control import next_event, serve_control
+
+SETTABLE = {
+    "slots": 3,
+    "connections": 300,
+    "work_ms": 20.0,
+    "cold_s": 0.0,  # time after a start in which work is slower
+    "cold_factor": 5.0,
+    "shed": 0.0,  # share of requests refused although a slot is free
+    "fail_fast": False,  # answer 500 at once
+    "crash_down_s": 1.0,
+    "drain_refuse_after_s": 2.0,
+    "health_lag_s": 0.0,  # age of the reported state
+    "health_lie": "",  # "pass", "idle" (load 0) or "silent" (no answer)
+}
+COUNTERS = (
+    "arrivals",
+    "over_slots",
+    "over_connections",
+    "refused",
+    "late",
+    "cancelled",
+    "crashes",
+    "partial_bodies",
+)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def answer_body(request_id: str, ledger_id: str, size: int) -> bytes:
+    """Return the body that answers exactly this request."""
+    seed = hashlib.sha256(f"{request_id}|{ledger_id}".encode()).hexdigest().encode()
+    return (seed * (size // len(seed) + 1))[:size]
+
+
+def content_digest(body: bytes) -> str:
+    """Return the RFC 9530 field value of a body."""
+    digest = base64.b64encode(hashlib.sha256(body).digest()).decode()
+    return f"sha-256=:{digest}:"
+
+
+class Run(msgspec.Struct):
+    """One run of a request; `end` is None while it runs."""
+
+    upstream: str
+    start: float
+    end: float | None = None
+    state: str = "running"
+    bytes: int = 0
+    sha256: str = ""
+
+
+class Usage:
+    """Requests in flight with their peak, in total and per second."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.peak = 0
+        self.windows: dict[int, int] = {}
+
+    def change(self, step: int) -> None:
+        """Add `step` requests in flight."""
+        before, self.in_flight = self.in_flight, self.in_flight + step
+        second = int(time.time())
+        highest = max(before, self.in_flight)
+        self.windows[second] = max(self.windows.get(second, 0), highest)
+        self.peak = max(self.peak, self.in_flight)
+
+    def report(self) -> dict[str, Any]:
+        """Return the figures as plain data."""
+        return {"in_flight": self.in_flight, "peak": self.peak, "windows": self.windows}
+
+
+class Upstream:
+    """One upstream on its own port."""
+
+    def __init__(self, process: Process, spec: dict[str, Any]) -> None:
+        self.process = process
+        self.name = str(spec["name"])
+        self.group = str(spec.get("group", ""))
+        self.port = int(spec.get("port", 0))
+        self.cfg = {**SETTABLE, **{k: v for k, v in spec.items() if k in SETTABLE}}
+        self.rng = random.Random(f"{process.seed}/{self.name}")
+        self.usage = Usage()
+        self.counts = dict.fromkeys(COUNTERS, 0)
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.peak_connections = 0
+        self.history: collections.deque[tuple[float, int]] = collections.deque()
+        self.drain_at = 0.0
+        self.last_arrival = 0.0
+        self.idle_at = 0.0  # when the last request in flight ended
+        self.down = False
+        self.starts = 0
+
+    async def start(self) -> None:
+        """Listen, as a new instance."""
+        self.starts += 1
+        self.instance = f"{self.name}-{self.process.seed}-{self.starts}"
+        self.started = time.time()
+        self.server = await asyncio.start_server(
+            self.connected, self.process.host, self.port, backlog=512
+        )
+        self.port = int(self.server.sockets[0].getsockname()[1])
+        self.down = False
+
+    def change(self, changes: dict[str, Any]) -> None:
+        """Apply settings and the actions `drain` and `crash`."""
+        if unknown := set(changes) - set(SETTABLE) - {"drain", "crash"}:
+            raise ValueError(f"unknown settings: {unknown}")
+        if "drain" in changes:
+            self.drain_at = time.time() if changes["drain"] else 0.0
+        self.cfg.update({k: v for k, v in changes.items() if k in SETTABLE})
+        if changes.get("crash"):
+            self.crash()
+
+    def crash(self) -> None:
+        """Reset all connections and stop listening for a while."""
+        if self.down:
+            return
+        self.down = True
+        self.counts["crashes"] += 1
+        self.server.close()
+        for writer in self.writers:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        self.drain_at = 0.0
+        self.process.spawn(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(float(self.cfg["crash_down_s"]))
+        await self.start()
+
+    def report(self) -> dict[str, Any]:
+        """Return all counts."""
+        return {
+            **self.counts,
+            **self.usage.report(),
+            "group": self.group,
+            "slots": self.cfg["slots"],
+            "connections": len(self.writers),
+            "peak_connections": self.peak_connections,
+            "instance": self.instance,
+            "drain_at": self.drain_at,
+            "last_arrival": self.last_arrival,
+            "idle_at": self.idle_at,
+        }
+
+    async def connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it closes."""
+        if self.down or len(self.writers) >= self.cfg["connections"]:
+            self.counts["over_connections"] += not self.down
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        self.peak_connections = max(self.peak_connections, len(self.writers))
+        conn = h11.Connection(h11.SERVER)
+        try:
+            while isinstance(event := await next_event(conn, reader), h11.Request):
+                await Exchange(self, conn, reader, writer, event).serve()
+                if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                    break
+                conn.start_next_cycle()
+        except (OSError, h11.RemoteProtocolError, h11.LocalProtocolError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def health(self) -> dict[str, Any]:
+        """Return the health report, as old or as false as it is set."""
+        now = time.time()
+        load, draining = self.usage.in_flight, bool(self.drain_at)
+        if (lag := float(self.cfg["health_lag_s"])) > 0:
+            draining = draining and now - self.drain_at >= lag
+            load = next((n for at, n in reversed(self.history) if at <= now - lag), 0)
+        status = "warn" if draining else "fail" if self.cfg["fail_fast"] else "pass"
+        if self.cfg["health_lie"] in ("pass", "idle"):
+            status = "pass"
+        if self.cfg["health_lie"] == "idle":
+            load = 0
+        value = {"observedValue": load, "observedUnit": "requests", "time": now}
+        limit = {"observedValue": self.cfg["slots"], "observedUnit": "requests"}
+        return {
+            "status": status,
+            "instance": self.instance,
+            "output": "draining" if status == "warn" else "",
+            "checks": {"requests:in-flight": [value], "requests:limit": [limit]},
+        }
+
+
+class Exchange:
+    """One request on a connection and its answer."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        conn: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: h11.Request,
+    ) -> None:
+        self.upstream = upstream
+        self.conn = conn
+        self.reader = reader
+        self.writer = writer
+        self.request = request
+        self.headers = {k.decode(): v.decode() for k, v in request.headers}
+        target = urlsplit(request.target.decode())
+        self.path = target.path
+        self.query = dict(parse_qsl(target.query, keep_blank_values=True))
+        self.run: Run | None = None
+        self.size = 0
+        self.digest = hashlib.sha256()
+
+    async def serve(self) -> None:
+        """Answer health, refuse, or take a slot and run the request."""
+        if self.path == "/health":
+            await self._health()
+            return
+        upstream = self.upstream
+        upstream.counts["arrivals"] += 1
+        upstream.last_arrival = time.time()
+        if refusal := self._refusal():
+            upstream.counts[refusal] += 1
+            await self.answer(503, refusal.encode(), not_run=True)
+            await self._read_body()
+            return
+        usages = (upstream.usage, upstream.process.group(upstream.group))
+        for usage in usages:
+            usage.change(1)
+        upstream.history.append((time.time(), upstream.usage.in_flight))
+        try:
+            await self._run()
+        finally:
+            for usage in usages:
+                usage.change(-1)
+            upstream.idle_at = time.time()
+            upstream.history.append((upstream.idle_at, upstream.usage.in_flight))
+            while upstream.history[0][0] < upstream.idle_at - 30:
+                upstream.history.popleft()
+
+    def _refusal(self) -> str:
+        """Return the counter of the reason to refuse, or an empty text."""
+        upstream = self.upstream
+        if upstream.usage.in_flight >= upstream.cfg["slots"]:
+            return "over_slots"
+        if self._deadline() <= time.time():
+            return "late"
+        drain_limit = upstream.drain_at + upstream.cfg["drain_refuse_after_s"]
+        if upstream.drain_at and time.time() >= drain_limit:
+            return "refused"
+        if upstream.cfg["shed"] and upstream.rng.random() < upstream.cfg["shed"]:
+            return "refused"
+        return ""
+
+    def _deadline(self) -> float:
+        text = self.headers.get("request-deadline", "")
+        return int(text) / 1000 if text else float("inf")
+
+    async def _health(self) -> None:
+        await self._read_body()
+        while self.upstream.cfg["health_lie"] == "silent":
+            if not await self._wait(0.2):
+                return
+        body = msgspec.json.encode(self.upstream.health())
+        await self.answer(200, body, content_type="application/health+json")
+
+    async def _read_body(self) -> None:
+        """Read the body to its end without keeping it."""
+        if self.conn.they_are_waiting_for_100_continue:
+            if self.conn.our_state is not h11.SEND_RESPONSE:
+                return
+            note = h11.InformationalResponse(status_code=100, headers=[])
+            self.writer.write(self.conn.send(note) or b"")
+        while isinstance(event := await next_event(self.conn, self.reader), h11.Data):
+            self.size += len(event.data)
+            self.digest.update(event.data)
+
+    async def _run(self) -> None:
+        try:
+            await self._read_body()
+        except (OSError, h11.RemoteProtocolError):
+            self.upstream.counts["partial_bodies"] += 1
+            raise
+        if self._deadline() <= time.time():
+            self.upstream.counts["late"] += 1
+            await self.answer(503, b"late", not_run=True)
+            return
+        self.run = Run(self.upstream.name, time.time(), None, "running", self.size, "")
+        self.run.sha256 = self.digest.hexdigest()
+        ledger_id = self.headers.get("ledger-id") or self.query.get("ledger_id", "")
+        if ledger_id:
+            self.upstream.process.ledger.setdefault(ledger_id, []).append(self.run)
+        state = "broken"  # the connection broke while the answer was sent
+        try:
+            state = await self._work(ledger_id)
+        finally:
+            self.run.end, self.run.state = time.time(), state
+
+    async def _work(self, ledger_id: str) -> str:
+        """Do the work and answer; return the run's final state."""
+        upstream = self.upstream
+        if self.query.get("crash") == "1":
+            upstream.crash()
+            return "crashed"
+        if upstream.cfg["fail_fast"]:
+            await self.answer(500, b"failed")
+            return "failed"
+        text = self.headers.get("work-ms") or self.query.get("work_ms")
+        work_s = float(text if text else upstream.cfg["work_ms"]) / 1000
+        if time.time() - upstream.started < upstream.cfg["cold_s"]:
+            work_s *= upstream.cfg["cold_factor"]
+        left_s = self._deadline() - time.time()
+        if not await self._wait(min(work_s, left_s)):
+            upstream.counts["cancelled"] += not upstream.down
+            return "crashed" if upstream.down else "cancelled"
+        if left_s < work_s:
+            await self.answer(504, b"deadline passed")
+            return "deadline"
+        size = int(self.query.get("size", "64"))
+        request_id = self.headers.get("request-id", "")
+        await self.answer(200, answer_body(request_id, ledger_id, size))
+        return "done"
+
+    async def _wait(self, seconds: float) -> bool:
+        """Wait; return False at once if the connection closes."""
+        try:
+            async with asyncio.timeout(seconds):
+                while data := await self.reader.read(65536):
+                    self.conn.receive_data(data)
+        except TimeoutError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes,
+        not_run: bool = False,
+        content_type: str = "application/octet-stream",
+    ) -> None:
+        """Send a complete answer."""
+        headers = [
+            ("Content-Type", content_type),
+            ("Content-Length", str(len(body))),
+            ("Content-Digest", content_digest(body)),
+        ]
+        if "request-id" in self.headers:
+            headers.append(("Request-Id", self.headers["request-id"]))
+        if not_run:
+            headers.append(("Request-Not-Run", "1"))
+        if self.upstream.drain_at:
+            headers.append(("Upstream-State", "draining"))
+        response = h11.Response(status_code=status, headers=headers)
+        self.writer.write(self.conn.send(response) or b"")
+        if self.request.method != b"HEAD":
+            self.writer.write(self.conn.send(h11.Data(data=body)) or b"")
+        self.writer.write(self.conn.send(h11.EndOfMessage()) or b"")
+        await self.writer.drain()
+
+
+class Process:
+    """All upstreams of this process, with one ledger."""
+
+    def __init__(self, host: str, seed: int, specs: list[dict[str, Any]]) -> None:
+        self.host = host
+        self.seed = seed
+        self.ledger: dict[str, list[Run]] = {}
+        self.groups: dict[str, Usage] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.upstreams = {s["name"]: Upstream(self, s) for s in specs}
+
+    def group(self, name: str) -> Usage:
+        """Return the usage of all upstreams of one group."""
+        return self.groups.setdefault(name, Usage())
+
+    def spawn(self, work: Any) -> None:
+        """Run a coroutine in the background."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def control(self, method: str, target: str, body: bytes) -> object:
+        """Serve the control port."""
+        if (method, target) == ("POST", "/control"):
+            for name, changes in msgspec.json.decode(body).items():
+                names = self.upstreams if name == "*" else [name]
+                for each in names:
+                    self.upstreams[each].change(changes)
+            return {}
+        if target == "/counts":
+            return {
+                "upstreams": {n: u.report() for n, u in self.upstreams.items()},
+                "groups": {n: usage.report() for n, usage in self.groups.items()},
+            }
+        if target == "/ledger":
+            return self.ledger
+        raise LookupError(target)
+
+
+def _read_specs(args: argparse.Namespace) -> list[dict[str, Any]]:
+    if args.config:
+        with open(args.config, "rb") as file:
+            specs: list[dict[str, Any]] = msgspec.json.decode(file.read())
+        return specs
+    common = {"slots": args.slots, "connections": args.connections}
+    names = [args.name]
+    if args.count > 1:
+        names = [f"{args.name}-{index}" for index in range(args.count)]
+    return [
+        {"name": name, "port": args.port + index if args.port else 0, **common}
+        for index, name in enumerate(names)
+    ]
+
+
+async def serve(args: argparse.Namespace) -> None:
+    """Serve all upstreams until SIGTERM."""
+    process = Process(args.host, args.seed, _read_specs(args))
+    for upstream in process.upstreams.values():
+        await upstream.start()
+    control = await serve_control(process.control, args.host, args.control_port)
+    ports = {name: upstream.port for name, upstream in process.upstreams.items()}
+    first = next(iter(ports.values()))
+    line = {"port": first, "control": control, "ports": ports}
+    print(msgspec.json.encode(line).decode(), flush=True)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await stopped.wait()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--control-port", type=int, default=0)
+    parser.add_argument("--name", default="upstream")
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--connections", type=int, default=300)
+    parser.add_argument("--config", help="JSON list of upstreams with their settings")
+    parser.add_argument("--seed", type=int, default=1)
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
