Add the load tool and the fault proxy

Cause: the conditions are to be checked from the caller's side and under cut, frozen, delayed and truncated connections between regions. Ruled out: one proxy listener for each pair of daemons, because all daemons read the same manifest and so connect to the same address; the proxy finds the origin by the process that owns the connection's other end. Change: tests/standins/caller.py, tests/standins/fault_proxy.py, their tests, and a comparison of callers' records with the upstreams' ledger.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -147,6 +147,30 @@
     }
 
 
+def broken_conditions(records: list[Data], ledger: dict[str, list[Data]]) -> list[str]:
+    """Compare callers' records with the upstreams' ledger; return all violations."""
+    found = []
+    for record in records:
+        name, outcome = record["id"], record["outcome"]
+        runs = {each: ledger.get(each, []) for each in record["told"]}
+        if outcome in ("lost", "wrong"):
+            found.append(f"{name}: {outcome} answer")
+        for ledger_id, told in record["told"].items():
+            if told == "did-not-run" and runs[ledger_id]:
+                found.append(f"{ledger_id}: ran, told did-not-run")
+        all_runs = [run for each in runs.values() for run in each]
+        if record["keyed"] and len(all_runs) > 1:
+            found.append(f"{name}: {len(all_runs)} runs of one keyed request")
+        whole = [
+            run
+            for run in all_runs
+            if run["state"] == "done" and record["sha256"] in ("", run["sha256"])
+        ]
+        if outcome == "done" and not whole:
+            found.append(f"{name}: told done without a complete run")
+    return found
+
+
 class Child:
     """A process that the cluster started, with its output files."""
 
@@ -470,7 +494,9 @@
 
     def start_caller(self, name: str, **plan: object) -> Child:
         """Start the load tool; `entries` and `seed` default to the cluster's."""
-        plan = {"entries": list(self.entries.values()), "seed": self.seed, **plan}
+        records = str(self.folder / f"{name}.jsonl")
+        defaults = {"entries": list(self.entries.values()), "seed": self.seed}
+        plan = {**defaults, "records": records, **plan}
         path = self.folder / f"{name}-plan.json"
         path.write_bytes(msgspec.json.encode(plan))
         return self.spawn(name, "tests.standins.caller", path)
@@ -481,6 +507,11 @@
         child.process.wait(timeout_s)
         return child.first_line(1.0)
 
+    def records(self, name: str) -> list[Data]:
+        """Return what a load tool recorded of each request."""
+        lines = (self.folder / f"{name}.jsonl").read_bytes().splitlines()
+        return [msgspec.json.decode(line) for line in lines]
+
     def logs(self) -> dict[str, str]:
         """Return what each process wrote to its log."""
         return {
--- a/tests/integration/test_standins.py
+++ b/tests/integration/test_standins.py
@@ -4,11 +4,13 @@
 
 import hashlib
 import http.client
+import os
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from tests.cluster import Child, Data, eventually, http_json
@@ -145,3 +147,126 @@
     assert fetch(upstream.port, "/")[0] == 200
     states = [upstream.runs(name)[0]["state"] for name in ("l4", "l5")]
     assert states == ["crashed", "crashed"]
+
+
+@pytest.fixture
+def proxied(upstream: Upstreams, tmp_path: Path) -> Iterator[tuple[int, str]]:
+    """Start a proxy before the upstream; give its port and control address."""
+    target = f"127.0.0.1:{upstream.port}"
+    listener = {"name": "u", "target": target, "from_region": "a", "to_region": "b"}
+    link = {"between": ["a", "b"], "mbit_per_s": 16, "delay_ms": 30}
+    path = tmp_path / "proxy.json"
+    path.write_bytes(msgspec.json.encode({"listeners": [listener], "links": [link]}))
+    child = Child(
+        "proxy", "tests.standins.fault_proxy", ["--config", str(path)], tmp_path
+    )
+    line = child.first_line()
+    yield line["ports"]["u"], f"127.0.0.1:{line['control']}"
+    child.process.kill()
+    child.process.wait()
+
+
+def set_rule(control: str, **rule: object) -> None:
+    """Set the only rule of a proxy."""
+    assert http_json("POST", control, "/rules", {"rule": rule or None})[0] == 200
+
+
+def test_proxy_limits_bandwidth_and_counts_bytes_each_way(
+    proxied: tuple[int, str],
+) -> None:
+    """Guards against link figures that count too little or the wrong way."""
+    port, control = proxied
+    start = time.monotonic()
+    assert fetch(port, "/?work_ms=0")[0] == 200
+    assert time.monotonic() - start >= 0.06
+    start = time.monotonic()
+    assert fetch(port, "/?work_ms=0", b"x" * 4_000_000)[0] == 200
+    assert 1.9 <= time.monotonic() - start <= 3.5  # 2 MB a second
+    pairs = {
+        (p["from"], p["to"]): p
+        for p in http_json("GET", control, "/counts")[1]["pairs"]
+    }
+    assert 4_000_000 < pairs["a", "b"]["bytes"] < 4_010_000
+    assert 0 < pairs["b", "a"]["bytes"] < 10_000
+    assert 1_900_000 < pairs["a", "b"]["peak_bytes_per_s"] < 4_000_000
+
+
+def test_proxy_truncates_loses_cuts_and_freezes(
+    proxied: tuple[int, str], upstream: Upstreams
+) -> None:
+    """Guards against faults that were asked for and never happened."""
+    port, control = proxied
+    set_rule(control, truncate_after=700, to_region="b")
+    with pytest.raises(http.client.IncompleteRead):
+        fetch(port, "/?size=5000&ledger_id=l6")
+    set_rule(control, lose_answer=True)
+    with pytest.raises(http.client.RemoteDisconnected):
+        fetch(port, "/?ledger_id=l7")
+    assert [len(upstream.runs(name)) for name in ("l6", "l7")] == [1, 1]
+    set_rule(control, truncate_after=700, to_region="other")
+    assert fetch(port, "/?size=5000")[0] == 200
+    set_rule(control, freeze=True)
+    threading.Timer(0.5, set_rule, [control]).start()
+    start = time.monotonic()
+    assert fetch(port, "/")[0] == 200
+    assert time.monotonic() - start >= 0.5
+    conn = http.client.HTTPConnection("127.0.0.1", port)
+    conn.request("GET", "/?work_ms=60000")
+    eventually(lambda: upstream.counts()["in_flight"] == 1, 2, "request runs")
+    set_rule(control, cut=True)
+    with pytest.raises(ConnectionResetError):
+        conn.getresponse()
+    with pytest.raises(ConnectionError):
+        fetch(port, "/")
+
+
+def test_proxy_finds_origin_by_process(upstream: Upstreams, tmp_path: Path) -> None:
+    """Guards against faults on the wrong daemon when daemons share a listener."""
+    listener = {"name": "u", "target": f"127.0.0.1:{upstream.port}", "to_region": "b"}
+    path = tmp_path / "proxy.json"
+    path.write_bytes(msgspec.json.encode({"listeners": [listener]}))
+    child = Child(
+        "proxy", "tests.standins.fault_proxy", ["--config", str(path)], tmp_path
+    )
+    try:
+        line = child.first_line()
+        control = f"127.0.0.1:{line['control']}"
+        origin = {"name": "me", "region": "a"}
+        http_json("POST", control, "/origins", {str(os.getpid()): origin})
+        conn = http.client.HTTPConnection("127.0.0.1", line["ports"]["u"])
+        conn.connect()
+        (ends,) = eventually_list(
+            lambda: http_json("GET", control, "/counts")[1]["tunnels"]
+        )
+        assert (ends["from"], ends["from_region"]) == ("me", "a")
+    finally:
+        child.process.kill()
+        child.process.wait()
+
+
+def eventually_list(read: Callable[[], list[Data]]) -> list[Data]:
+    """Wait until a list is not empty; return it."""
+    eventually(read, 2, "a list with items")
+    return read()
+
+
+def test_caller_finds_foreign_answers(upstream: Upstreams, tmp_path: Path) -> None:
+    """Guards against a load tool that accepts answers of other requests."""
+    plan = {
+        "direct": [f"127.0.0.1:{upstream.port}"],
+        "duration_s": 1,
+        "records": str(tmp_path / "records.jsonl"),
+        "loads": [
+            {"service": "own", "rate": 30, "size": 3000},
+            {"service": "foreign", "rate": 30, "query": "size=65"},
+        ],
+    }
+    path = tmp_path / "plan.json"
+    path.write_bytes(msgspec.json.encode(plan))
+    child = Child("caller", "tests.standins.caller", [str(path)], tmp_path)
+    assert child.process.wait(20) == 0
+    result = child.first_line()["services"]
+    own, foreign = result["own"], result["foreign"]
+    assert own["requests"] == own["done"] + own["did_not_run"] > 0
+    assert foreign["wrong"] > 0
+    assert foreign["done"] == 0
--- /dev/null
+++ b/tests/standins/caller.py
@@ -0,0 +1,401 @@
+"""Load tool: an open-loop caller that looks up hosts and checks its answers.
+
+Reads a plan (JSON file) and prints one line with the summary by service. Each
+request is written to the plan's `records` file, for comparison with the ledger
+of the upstreams. A ledger id stands for one idempotency key, or for one attempt
+of an idempotent request, so that every "did not run" can be checked by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import hashlib
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import h11
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from .control import next_event
+from .upstream import answer_body, content_digest
+
+LOOKUP_TIMEOUT_S = 1.0
+BLOCK = random.Random(7).randbytes(65536)
+MAX_LATENCY_US = 600_000_000
+Lookup = tuple[list[str], str, float]  # addresses, key, time when it expires
+
+
+class Load(msgspec.Struct):
+    """Requests of one service from one region."""
+
+    service: str
+    region: str = ""
+    rate: float = 50.0  # requests per second, on average
+    count: int = 1_000_000
+    start_s: float = 0.0
+    keyed: bool = False
+    size: int = 64  # bytes of the answer
+    body_bytes: int = 0
+    query: str = ""
+    attempts: int = 6
+
+
+class Plan(msgspec.Struct):
+    """What the load tool does; all durations bound the run."""
+
+    loads: list[Load]
+    entries: list[str] = []
+    direct: list[str] = []  # upstream addresses; skips the system
+    records: str = ""
+    seed: int = 1
+    duration_s: float = 10.0
+    attempt_timeout_s: float = 10.0
+    max_in_flight: int = 2000  # arrivals above it are counted as skipped
+
+
+class Answer(msgspec.Struct):
+    """A complete answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Record(msgspec.Struct):
+    """What became of one request."""
+
+    service: str
+    id: str
+    keyed: bool
+    at: float
+    told: dict[str, str] = {}  # by ledger id
+    attempts: int = 0
+    outcome: str = "lost"
+    kind: str = ""
+    latency_ms: float = 0.0
+    sha256: str = ""
+    hosts: list[str] = []
+
+
+class Connection:
+    """A connection to one address, for one request at a time."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.CLIENT)
+
+    async def _send_body(self, head: bytes, size: int) -> None:
+        chunks = [head, *[BLOCK] * (size // len(BLOCK)), BLOCK[: size % len(BLOCK)]]
+        for chunk in chunks:
+            self.writer.write(self.http.send(h11.Data(data=chunk)) or b"")
+            await self.writer.drain()
+        self.writer.write(self.http.send(h11.EndOfMessage()) or b"")
+
+    async def exchange(
+        self, request: h11.Request, head: bytes = b"", size: int = 0
+    ) -> Answer:
+        """Send a request and return its complete answer."""
+        self.writer.write(self.http.send(request) or b"")
+        sending: asyncio.Task[None] | None = None
+        if head:
+            sending = asyncio.ensure_future(self._send_body(head, size))
+        else:
+            self.writer.write(self.http.send(h11.EndOfMessage()) or b"")
+        try:
+            while isinstance(
+                event := await next_event(self.http, self.reader),
+                h11.InformationalResponse,
+            ):
+                pass
+            if not isinstance(event, h11.Response):
+                raise ConnectionResetError("closed before the answer")
+            body = []
+            while isinstance(
+                part := await next_event(self.http, self.reader), h11.Data
+            ):
+                body.append(bytes(part.data))
+            headers = {k.decode(): v.decode() for k, v in event.headers}
+            return Answer(event.status_code, headers, b"".join(body))
+        finally:
+            if sending is not None:
+                sending.cancel()
+                with contextlib.suppress(asyncio.CancelledError, OSError):
+                    await sending
+
+    def reusable(self) -> bool:
+        """Prepare for the next request; return False if it needs a new connection."""
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+
+class Caller:
+    """All requests of one plan."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.rng = random.Random(plan.seed)
+        self.idle: dict[str, list[Connection]] = {}
+        self.lookups: dict[tuple[str, str], Lookup] = {}
+        self.records: list[Record] = []
+        self.skipped: collections.Counter[str] = collections.Counter()
+        self.refusals: dict[str, HdrHistogram] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def send(
+        self,
+        address: str,
+        target: str,
+        headers: dict[str, str],
+        head: bytes = b"",
+        size: int = 0,
+    ) -> Answer:
+        """Send one request to an address over an idle or a new connection."""
+        fields = {"Host": address, **headers}
+        if head:
+            fields["Content-Length"] = str(len(head) + size)
+        method = "POST" if head else "GET"
+        request = h11.Request(
+            method=method, target=target, headers=list(fields.items())
+        )
+        pool = self.idle.setdefault(address, [])
+        conn = None
+        while pool and conn is None:
+            conn = pool.pop()
+            if conn.reader.at_eof() or conn.writer.is_closing():
+                conn.writer.close()
+                conn = None
+        if conn is None:
+            ip, _, port = address.rpartition(":")
+            conn = Connection(*await asyncio.open_connection(ip, int(port)))
+        keep = False
+        try:
+            answer = await conn.exchange(request, head, size)
+            keep = conn.reusable()
+            return answer
+        finally:
+            if keep:
+                pool.append(conn)
+            else:
+                conn.writer.close()
+
+    async def lookup(self, load: Load) -> Lookup:
+        """Return the hosts to use, from the cache while it is valid."""
+        cached = self.lookups.get((load.service, load.region))
+        if cached and not load.keyed and cached[2] > time.monotonic():
+            return cached
+        target = f"/v1/lookup?service={load.service}"
+        if load.region:
+            target += f"&region={load.region}"
+        entries = self.rng.sample(self.plan.entries, len(self.plan.entries))
+        if cached:  # the hosts of the last answer are the most likely to live
+            entries = [*cached[0], *(e for e in entries if e not in cached[0])]
+        for entry in entries:
+            try:
+                async with asyncio.timeout(LOOKUP_TIMEOUT_S):
+                    answer = await self.send(entry, target, {})
+                if answer.status != 200:
+                    continue
+                data = msgspec.json.decode(answer.body)
+            except (OSError, TimeoutError, h11.ProtocolError, msgspec.DecodeError):
+                continue
+            hosts = [data["address"], *(h["address"] for h in data["alternates"])]
+            expires = time.monotonic() + data["ttl_ms"] / 1000
+            found = (hosts, str(data.get("key") or ""), expires)
+            self.lookups[load.service, load.region] = found
+            return found
+        return [], "", 0.0
+
+    async def run(self, load: Load, number: int) -> None:
+        """Send one request until it has a final outcome."""
+        name = f"{load.service}-{load.region}-{self.plan.seed}-{number}"
+        record = Record(load.service, name, load.keyed, time.time(), {}, hosts=[])
+        self.records.append(record)
+        start = time.monotonic()
+        try:
+            await Request(self, load, record).run()
+        finally:
+            record.latency_ms = (time.monotonic() - start) * 1000
+
+    async def arrivals(self, load: Load) -> None:
+        """Start requests at seeded random times."""
+        rng = random.Random(f"{self.plan.seed}/{load.service}/{load.region}")
+        at = start = time.monotonic()
+        at += load.start_s
+        for number in range(load.count):
+            at += rng.expovariate(load.rate)
+            if at - start > self.plan.duration_s:
+                return
+            if at > time.monotonic():
+                await asyncio.sleep(at - time.monotonic())
+            if len(self.tasks) >= self.plan.max_in_flight:
+                self.skipped[load.service] += 1
+                continue
+            task = asyncio.ensure_future(self.run(load, number))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def run_all(self) -> dict[str, Any]:
+        """Run the plan; return the summary."""
+        await asyncio.gather(*map(self.arrivals, self.plan.loads))
+        if self.tasks:
+            await asyncio.gather(*self.tasks)
+        if self.plan.records:
+            lines = [msgspec.json.encode(record) for record in self.records]
+            Path(self.plan.records).write_bytes(b"\n".join(lines))
+        services = sorted({load.service for load in self.plan.loads})
+        return {"services": {name: self.summary(name) for name in services}}
+
+    def summary(self, service: str) -> dict[str, Any]:
+        """Return a service's counts and latencies."""
+        records = [record for record in self.records if record.service == service]
+        outcomes = collections.Counter(record.outcome for record in records)
+        latencies = HdrHistogram(1, MAX_LATENCY_US, 3)
+        for record in records:
+            if record.outcome == "done":
+                latencies.record_value(max(1, int(record.latency_ms * 1000)))
+        refusals = self.refusals.get(service) or HdrHistogram(1, MAX_LATENCY_US, 3)
+        names = ("done", "did-not-run", "unknown", "lost", "wrong", "failed")
+        return {
+            "requests": len(records),
+            "skipped": self.skipped[service],
+            **{name.replace("-", "_"): outcomes[name] for name in names},
+            "attempts": sum(record.attempts for record in records),
+            "kinds": dict(collections.Counter(r.kind for r in records if r.kind)),
+            "p50_ms": latencies.get_value_at_percentile(50) / 1000,
+            "p99_ms": latencies.get_value_at_percentile(99) / 1000,
+            "refusal_p99_ms": refusals.get_value_at_percentile(99) / 1000,
+        }
+
+
+class Request:
+    """One request through all its attempts."""
+
+    def __init__(self, caller: Caller, load: Load, record: Record) -> None:
+        self.caller = caller
+        self.load = load
+        self.record = record
+        self.hosts: list[str] = []
+        self.key = ""
+        self.number = 0  # part of the ledger id
+        self.next_host = 0
+        self.query = f"size={load.size}{'&' if load.query else ''}{load.query}"
+        self.head = b""
+        if load.body_bytes:
+            self.head = record.id.encode().ljust(64)
+            size = load.body_bytes
+            body = hashlib.sha256(self.head)
+            for _ in range(size // len(BLOCK)):
+                body.update(BLOCK)
+            body.update(BLOCK[: size % len(BLOCK)])
+            record.sha256 = body.hexdigest()
+
+    async def run(self) -> None:
+        """Attempt until the outcome is final or no attempt is left."""
+        if self.caller.plan.direct:
+            self.hosts = [self.caller.rng.choice(self.caller.plan.direct)]
+        while self.record.attempts < self.load.attempts:
+            self.record.attempts += 1
+            if not self.hosts or (self.load.keyed and not self.key):
+                self.hosts, key, _ = await self.caller.lookup(self.load)
+                self.next_host = 0
+                self.key = self.key or key
+            if not self.hosts or (self.load.keyed and not self.key):
+                await asyncio.sleep(0.2)
+                continue
+            wait_s = await self.attempt()
+            if wait_s is None:
+                return
+            await asyncio.sleep(wait_s * self.caller.rng.uniform(1.0, 1.5))
+
+    async def attempt(self) -> float | None:
+        """Send once; return the wait before the next attempt, None if final."""
+        load, record = self.load, self.record
+        host = self.hosts[self.next_host % len(self.hosts)]
+        ledger_id = f"{record.id}.{self.number}"
+        headers = {"Request-Id": ledger_id, "Ledger-Id": ledger_id}
+        if self.key:
+            headers["Idempotency-Key"] = self.key
+        prefix = "" if self.caller.plan.direct else f"/v1/services/{load.service}"
+        target = f"{prefix}/item?{self.query}"
+        record.hosts.append(host)
+        record.told[ledger_id] = ""
+        start = time.monotonic()
+        try:
+            async with asyncio.timeout(self.caller.plan.attempt_timeout_s):
+                answer = await self.caller.send(
+                    host, target, headers, self.head, load.body_bytes
+                )
+        except (OSError, TimeoutError, h11.ProtocolError):
+            if self.next_host % len(self.hosts) == 0:
+                self.caller.lookups.pop((load.service, load.region), None)
+            self.next_host += 1
+            self.number += not load.keyed
+            record.outcome = "lost"
+            return min(1.0, 0.025 * (1 << record.attempts))
+        outcome = answer.headers.get("request-outcome", "")
+        if self.caller.plan.direct:
+            outcome = "did-not-run" if "request-not-run" in answer.headers else "done"
+        record.told[ledger_id] = outcome
+        record.kind = answer.headers.get("error-kind", "")
+        if outcome == "did-not-run":
+            return self.refused(answer, time.monotonic() - start)
+        if outcome == "done" and answer.status == 200:
+            expected = answer_body(ledger_id, ledger_id, load.size)
+            record.outcome = "done" if is_own(answer, expected, ledger_id) else "wrong"
+        else:
+            known = {"done": "failed", "unknown": "unknown"}
+            record.outcome = known.get(outcome, "wrong")
+        return None
+
+    def refused(self, answer: Answer, seconds: float) -> float | None:
+        """Prepare the next attempt after "did not run"."""
+        record = self.record
+        # An earlier attempt of a request without a key may have run.
+        unsure = not self.load.keyed and "" in record.told.values()
+        record.outcome = "unknown" if unsure else "did-not-run"
+        histogram = self.caller.refusals.setdefault(
+            self.load.service, HdrHistogram(1, MAX_LATENCY_US, 3)
+        )
+        histogram.record_value(max(1, int(seconds * 1e6)))
+        self.number += 1
+        self.key = answer.headers.get("next-idempotency-key", "")
+        if record.kind == "HOST_STOPPING" or (self.load.keyed and not self.key):
+            self.hosts = []
+            self.caller.lookups.pop((self.load.service, self.load.region), None)
+        else:
+            self.next_host += 1
+        wait_ms = answer.headers.get("retry-after-ms")
+        return None if wait_ms is None else int(wait_ms) / 1000
+
+
+def is_own(answer: Answer, expected: bytes, request_id: str) -> bool:
+    """Tell whether an answer is complete and belongs to the request."""
+    digest = answer.headers.get("content-digest", content_digest(expected))
+    named = answer.headers.get("request-id", request_id)
+    return (
+        answer.body == expected
+        and named == request_id
+        and digest == content_digest(expected)
+    )
+
+
+def main() -> None:
+    """Run the plan in the file that the command line names."""
+    plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=Plan)
+    summary = asyncio.run(Caller(plan).run_all())
+    print(msgspec.json.encode(summary).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/fault_proxy.py
@@ -0,0 +1,349 @@
+"""TCP proxy that delays, cuts, freezes and counts the traffic between regions.
+
+The origin of a connection is a listener's fixed `from` or, for daemons that
+share one listener, the process that owns the connection's other end. A rule
+applies to a connection if all its selectors (`listener`, `from`, `to`,
+`from_region`, `to_region`) match; rules can change while connections are open.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import os
+import random
+import signal
+import socket
+import struct
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .control import serve_control
+
+CHUNK_BYTES = 16384
+QUEUE_BYTES = 1 << 20
+TICK_S = 0.01
+SELECTORS = ("listener", "from", "to", "from_region", "to_region")
+FAULTS = ("cut", "lose_answer", "truncate", "delay", "freeze")
+EFFECTS: dict[str, Any] = {
+    "cut": False,  # closes existing connections and refuses new ones
+    "freeze": False,  # holds bytes; connections stay
+    "delay_ms": 0.0,  # each way, in addition to the link's
+    "truncate_after": -1,  # bytes of the answer, then close
+    "lose_answer": False,  # drop the answer's bytes, then close
+    "random": 0.0,  # share of connections that get a seeded random fault
+    "faults": FAULTS,  # those that `random` chooses from
+}
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+Rule = dict[str, Any]
+
+
+def owner_of(address: tuple[str, int], pids: list[int]) -> int | None:
+    """Return which of the processes owns the socket bound to an address."""
+    ip = socket.inet_aton(address[0])[::-1].hex().upper()
+    wanted = f"{ip}:{address[1]:04X}"
+    inode = ""
+    with open("/proc/net/tcp") as table:
+        for line in table:
+            fields = line.split()
+            if fields[1] == wanted:
+                inode = f"socket:[{fields[9]}]"
+    for pid in pids:
+        with contextlib.suppress(OSError):
+            for entry in os.scandir(f"/proc/{pid}/fd"):
+                with contextlib.suppress(OSError):
+                    if os.readlink(entry.path) == inode:
+                        return pid
+    return None
+
+
+class Pair:
+    """One direction between two regions: its rate limit and its byte counts."""
+
+    def __init__(self, bytes_per_s: float, delay_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.delay_s = delay_s
+        self.free_at = 0.0  # when the bytes accepted so far have left
+        self.tenths: collections.Counter[int] = collections.Counter()
+
+    def note(self, size: int) -> None:
+        """Count bytes as they arrive at the link, before it limits them."""
+        self.tenths[int(time.time() * 10)] += size
+
+    def peak(self) -> int:
+        """Return the most bytes in any second, in steps of a tenth."""
+        return max(
+            (sum(self.tenths.get(t + i, 0) for i in range(10)) for t in self.tenths),
+            default=0,
+        )
+
+    def departure(self, size: int) -> float:
+        """Return when bytes that arrive now have been sent over the link."""
+        start = max(time.monotonic(), self.free_at)
+        self.free_at = start + (size / self.bytes_per_s if self.bytes_per_s else 0.0)
+        return self.free_at + self.delay_s
+
+
+class Tunnel:
+    """One connection through the proxy."""
+
+    def __init__(self, proxy: Proxy, ends: dict[str, str]) -> None:
+        self.proxy = proxy
+        self.ends = ends
+        self.fault = ""  # the seeded random fault of this connection
+        self.fault_after = 0
+        self.answered = 0  # bytes of the answer so far
+        self.writers: list[asyncio.StreamWriter] = []
+
+    def effect(self) -> Rule:
+        """Return what all matching rules do to this connection now."""
+        total = dict(EFFECTS)
+        for rule in self.proxy.rules.values():
+            if all(self.ends[s] == rule[s] for s in SELECTORS if s in rule):
+                total |= {k: v for k, v in rule.items() if k in EFFECTS}
+        if self.fault == "delay":
+            total["delay_ms"] += 200.0
+        elif self.fault == "truncate":
+            total["truncate_after"] = self.fault_after
+        elif self.fault:
+            late = self.answered > self.fault_after
+            total[self.fault] = total[self.fault] or late or self.fault == "lose_answer"
+        return total
+
+    def reset(self) -> None:
+        """Close both ends at once, with a reset."""
+        for writer in self.writers:
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, target: str
+    ) -> None:
+        """Connect to the target and pass bytes both ways until the end."""
+        self.writers.append(writer)
+        effect = self.effect()
+        if effect["cut"]:
+            self.reset()
+            return
+        rng = self.proxy.rng
+        if effect["random"] and rng.random() < effect["random"]:
+            self.fault = rng.choice(effect["faults"])
+            self.fault_after = rng.randrange(2000)
+            self.proxy.faults[self.fault] += 1
+        ip, _, port = target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            self.reset()
+            return
+        self.writers.append(far_writer)
+        here, there = self.ends["from_region"], self.ends["to_region"]
+        forth = asyncio.ensure_future(
+            self.direction(reader, far_writer, self.proxy.pair(here, there), False)
+        )
+        back = asyncio.ensure_future(
+            self.direction(far_reader, writer, self.proxy.pair(there, here), True)
+        )
+        try:
+            done, _ = await asyncio.wait((forth, back), return_when="FIRST_COMPLETED")
+            # After the answer's end nothing more reaches the caller.
+            if forth in done and forth.result():
+                await back
+        finally:
+            forth.cancel()
+            back.cancel()
+            await asyncio.gather(forth, back, return_exceptions=True)
+            for each in self.writers:
+                each.close()
+
+    async def direction(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: Pair,
+        is_answer: bool,
+    ) -> bool:
+        """Pass bytes one way; return False if the connection broke."""
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(
+            QUEUE_BYTES // CHUNK_BYTES
+        )
+        sender = asyncio.ensure_future(self.deliver(queue, writer, is_answer))
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                pair.note(len(data))
+                await queue.put((pair.departure(len(data)), data))
+            await queue.put((time.monotonic() + pair.delay_s, b""))
+            return await sender
+        except OSError:
+            return False
+        finally:
+            sender.cancel()
+
+    async def deliver(
+        self,
+        queue: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> bool:
+        """Write queued bytes when they are due, as the rules allow."""
+        while True:
+            due, data = await queue.get()
+            while (effect := self.effect())["freeze"] or (
+                due + effect["delay_ms"] / 1000 > time.monotonic()
+            ):
+                left = due + effect["delay_ms"] / 1000 - time.monotonic()
+                await asyncio.sleep(
+                    max(0.001, left) if not effect["freeze"] else TICK_S
+                )
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return True
+            close = effect["cut"]
+            if is_answer and effect["lose_answer"]:
+                data, close = b"", True
+            if is_answer and effect["truncate_after"] >= 0:
+                left = effect["truncate_after"] - self.answered
+                close = close or left < len(data)
+                data = data[: max(0, left)]
+            self.answered += len(data) if is_answer else 0
+            try:
+                writer.write(data)
+                await writer.drain()
+            except OSError:
+                return False
+            if close:
+                writer.close()
+                return False
+
+
+class Proxy:
+    """All listeners with their rules and pairs of regions."""
+
+    def __init__(self, host: str, seed: int, plan: Rule) -> None:
+        self.host = host
+        self.rng = random.Random(seed)
+        self.listeners: list[dict[str, Any]] = plan["listeners"]
+        self.links: list[dict[str, Any]] = plan.get("links", [])
+        self.origins: dict[int, dict[str, str]] = {}
+        self.rules: dict[str, Rule] = {}
+        self.pairs: dict[tuple[str, str], Pair] = {}
+        self.tunnels: set[Tunnel] = set()
+        self.faults: collections.Counter[str] = collections.Counter()
+
+    def pair(self, origin: str, target: str) -> Pair:
+        """Return the direction between two regions; no limit within a region."""
+        if (origin, target) not in self.pairs:
+            rate = delay_s = 0.0
+            for link in self.links:
+                if {origin, target} == set(link["between"]):
+                    rate = float(link.get("mbit_per_s", 0)) * 125_000
+                    delay_s = float(link.get("delay_ms", 0)) / 1000
+            self.pairs[origin, target] = Pair(rate, delay_s)
+        return self.pairs[origin, target]
+
+    async def listen(self, spec: dict[str, Any]) -> int:
+        """Open one listener; return its port."""
+
+        async def connected(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            tunnel = Tunnel(self, self.ends(spec, writer))
+            self.tunnels.add(tunnel)
+            try:
+                await tunnel.run(reader, writer, spec["target"])
+            finally:
+                self.tunnels.discard(tunnel)
+                writer.close()
+
+        port = spec.get("port", 0)
+        server = await asyncio.start_server(connected, self.host, port, backlog=512)
+        return int(server.sockets[0].getsockname()[1])
+
+    def ends(
+        self, spec: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> dict[str, str]:
+        """Return the selectors' values for a new connection."""
+        ends = {s: str(spec.get(s, "")) for s in SELECTORS}
+        ends["listener"] = spec["name"]
+        if not ends["from"] and self.origins:
+            peer = writer.get_extra_info("peername")
+            pid = owner_of(peer[:2], list(self.origins))
+            if pid is not None:
+                ends["from"] = self.origins[pid]["name"]
+                ends["from_region"] = self.origins[pid]["region"]
+        return ends
+
+    def control(self, method: str, target: str, body: bytes) -> object:
+        """Serve the control port."""
+        if target == "/counts":
+            return self.report()
+        data = msgspec.json.decode(body)
+        if target == "/origins":
+            self.origins.update({int(pid): origin for pid, origin in data.items()})
+        elif target == "/links":  # the same form as in the plan
+            self.links, self.pairs = data, {}
+        elif target == "/rules":
+            for name, rule in data.items():
+                if unknown := set(rule or {}) - set(SELECTORS) - set(EFFECTS):
+                    raise ValueError(f"unknown fields: {unknown}")
+                self.rules.pop(name, None)
+                if rule:
+                    self.rules[name] = rule
+            for tunnel in list(self.tunnels):
+                if tunnel.effect()["cut"]:
+                    tunnel.reset()
+        else:
+            raise LookupError(target)
+        return {}
+
+    def report(self) -> object:
+        """Return the byte counts by ordered pair of regions, and the faults."""
+        return {
+            "faults": self.faults,
+            "tunnels": [tunnel.ends for tunnel in self.tunnels],
+            "pairs": [
+                {
+                    "from": origin,
+                    "to": target,
+                    "bytes": sum(pair.tenths.values()),
+                    "peak_bytes_per_s": pair.peak(),
+                    "limit_bytes_per_s": pair.bytes_per_s,
+                }
+                for (origin, target), pair in self.pairs.items()
+            ],
+        }
+
+
+async def serve(args: argparse.Namespace) -> None:
+    """Serve all listeners until SIGTERM."""
+    plan = msgspec.json.decode(Path(args.config).read_bytes())
+    proxy = Proxy(args.host, args.seed, plan)
+    ports = {spec["name"]: await proxy.listen(spec) for spec in proxy.listeners}
+    control = await serve_control(proxy.control, args.host, args.control_port)
+    line = {"control": control, "ports": ports, "seed": args.seed}
+    print(msgspec.json.encode(line).decode(), flush=True)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await stopped.wait()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--control-port", type=int, default=0)
+    parser.add_argument("--config", required=True, help="JSON with listeners and links")
+    parser.add_argument("--seed", type=int, default=1)
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
