Add the assignment of upstreams and shares to shards

Cause: each slot, cap share and link share needs exactly one owner. Ruled out: equal cap shares, because they strand capacity where a shard has more slots than its share; the cap is split in proportion to slots instead. Change: rendezvous hashing with bounded loads, exact shares, witnesses. Conclusion: property tests over host, upstream and cap counts pass.

--- /dev/null
+++ b/samphirebend/shards.py
@@ -0,0 +1,122 @@
+"""Shards: which part of each limit belongs to which configured host.
+
+Pure functions of a manifest, so that every host derives the same result.
+`limits` enforces the shares of the shards whose leases the host holds, `links`
+paces sends by the link shares, and `leases` asks the witnesses for grants.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import xxhash
+
+from .manifest import Manifest, Upstream
+
+MAX_WITNESSES: Final = 7
+BYTES_PER_MBIT: Final = 125_000
+# The remaining 5% is reserved for control and table service traffic.
+SENDING_PERCENT: Final = 80
+RECEIVING_PERCENT: Final = 15
+
+
+class LinkShare:
+    """A shard's part of the link from its region to another, in bytes per second."""
+
+    __slots__ = ("receiving", "sending")
+
+    def __init__(self, sending: int, receiving: int) -> None:
+        self.sending = sending  # from the shard's region to the other
+        self.receiving = receiving  # from callers in the other region
+
+
+def _score(key: str, host: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{host}".encode())
+
+
+def assign(manifest: Manifest) -> dict[str, str]:
+    """Return each upstream's shard, by rendezvous hashing with bounded loads.
+
+    Pairs of upstream and host are taken in the order of their hash; a host
+    takes at most ceil(n / hosts) of a service's n upstreams in its region.
+    """
+    groups: dict[tuple[str, str], list[Upstream]] = {}
+    for upstream in manifest.upstreams.values():
+        groups.setdefault((upstream.service, upstream.region), []).append(upstream)
+    shards: dict[str, str] = {}
+    for (_, region), upstreams in groups.items():
+        names = [upstream.name for upstream in upstreams]
+        shards.update(_assign_group(names, manifest.hosts_of(region)))
+    return shards
+
+
+def _assign_group(upstreams: list[str], hosts: list[str]) -> dict[str, str]:
+    if not hosts:
+        return {}
+    room = dict.fromkeys(hosts, -(-len(upstreams) // len(hosts)))
+    pairs = sorted(
+        ((_score(name, host), name, host) for name in upstreams for host in hosts),
+        reverse=True,
+    )
+    shards: dict[str, str] = {}
+    for _, name, host in pairs:
+        if name not in shards and room[host]:
+            shards[name] = host
+            room[host] -= 1
+    return shards
+
+
+def split(total: int, weights: dict[str, int]) -> dict[str, int]:
+    """Split a total by weights with the largest remainder method.
+
+    >>> split(10, {"a": 1, "b": 1, "c": 1})
+    {'a': 4, 'b': 3, 'c': 3}
+    >>> split(3, {"a": 0, "b": 0})
+    {'a': 2, 'b': 1}
+    """
+    if not weights:
+        return {}
+    if not any(weights.values()):
+        weights = dict.fromkeys(weights, 1)
+    whole = sum(weights.values())
+    shares = {name: total * weight // whole for name, weight in weights.items()}
+    by_remainder = sorted(
+        weights, key=lambda name: (-(total * weights[name] % whole), name)
+    )
+    for name in by_remainder[: total - sum(shares.values())]:
+        shares[name] += 1
+    return shares
+
+
+def cap_shares(manifest: Manifest, region: str) -> dict[str, int]:
+    """Split a region's cap over its shards in proportion to their slots."""
+    slots = dict.fromkeys(manifest.hosts_of(region), 0)
+    for name, shard in assign(manifest).items():
+        if shard in slots:
+            slots[shard] += manifest.upstreams[name].slots
+    return split(manifest.regions[region].max_in_flight, slots)
+
+
+def witnesses(manifest: Manifest, shard: str) -> list[str]:
+    """Return the hosts that witness a shard's lease, its own host first."""
+    others = sorted(
+        (name for name in manifest.hosts if name != shard),
+        key=lambda name: (-_score(shard, name), name),
+    )
+    return [shard, *others[: MAX_WITNESSES - 1]]
+
+
+def link_shares(manifest: Manifest, region: str, other: str) -> dict[str, LinkShare]:
+    """Return the link shares of a region's shards towards another region.
+
+    `sending` is taken from the direction to the other region, `receiving` from
+    the opposite direction; the result is empty if there is no link.
+    """
+    link = manifest.link(region, other)
+    if link is None or region == other:
+        return {}
+    percent = link.mbit_per_s * BYTES_PER_MBIT // 100
+    equal = dict.fromkeys(manifest.hosts_of(region), 1)
+    sending = split(percent * SENDING_PERCENT, equal)
+    receiving = split(percent * RECEIVING_PERCENT, equal)
+    return {name: LinkShare(sending[name], receiving[name]) for name in equal}
--- /dev/null
+++ b/tests/unit/test_shards.py
@@ -0,0 +1,66 @@
+"""Guards the division of limits: parts must never exceed the whole."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given, strategies as st
+
+from samphirebend.shards import assign, cap_shares, link_shares, split, witnesses
+
+from .small_manifest import REGIONS, make_manifest
+
+SIZES = st.tuples(st.integers(1, 6), st.integers(1, 20), st.integers(1, 500))
+
+
+@given(SIZES)
+def test_assignment_is_bounded_and_caps_add_up(sizes: tuple[int, int, int]) -> None:
+    """Guards against an overloaded shard and against a cap that is given twice."""
+    hosts, upstreams, cap = sizes
+    names = [f"h{index}" for index in range(hosts)]
+    manifest = make_manifest({"north": names}, upstreams, cap)
+    shards = assign(manifest)
+    assert set(shards) == set(manifest.upstreams)
+    for service in manifest.services.values():
+        counts = Counter(shards[upstream.name] for upstream in service.upstreams)
+        assert max(counts.values()) <= -(-upstreams // hosts)
+    shares = cap_shares(manifest, "north")
+    assert set(shares) == set(names)
+    assert sum(shares.values()) == cap
+
+
+@given(st.integers(0, 10_000), st.lists(st.integers(0, 50), min_size=1))
+def test_split_is_exact(total: int, weights: list[int]) -> None:
+    """Guards against rounding that loses or adds units."""
+    shares = split(total, {str(index): w for index, w in enumerate(weights)})
+    assert sum(shares.values()) == total
+    assert min(shares.values()) >= 0
+
+
+def test_shards_stay_in_their_region() -> None:
+    """Guards against an upstream served across a link in normal operation."""
+    manifest = make_manifest()
+    for name, shard in assign(manifest).items():
+        assert manifest.hosts[shard].region == manifest.upstreams[name].region
+
+
+def test_link_shares_leave_the_reserve() -> None:
+    """Guards the 5% of each direction that control traffic relies on."""
+    manifest = make_manifest()
+    budget = 281 * 125_000
+    sent = sum(x.sending for x in link_shares(manifest, "north", "south").values())
+    read = sum(x.receiving for x in link_shares(manifest, "south", "north").values())
+    assert sent == budget * 80 // 100
+    assert read == budget * 15 // 100
+    assert link_shares(manifest, "north", "north") == {}
+
+
+def test_witnesses_are_bounded_and_include_the_own_host() -> None:
+    """Guards the size of the sets whose majorities must intersect."""
+    hosts = REGIONS | {"east": [f"e{index}" for index in range(9)]}
+    for shard in make_manifest().hosts:
+        assert set(witnesses(make_manifest(), shard)) == set(make_manifest().hosts)
+    for shard in make_manifest(hosts).hosts:
+        chosen = witnesses(make_manifest(hosts), shard)
+        assert chosen[0] == shard
+        assert len(set(chosen)) == len(chosen) == 7
