Add limits on slots, connections and cap shares

Cause: a host must stay within the limits of the shards that it holds, also while a manifest changes and after a takeover. Ruled out: counting a drained version at or above the new one as agreement; a host that skips a version never applied the reductions of the skipped one. Change: a limit is the lowest over the active and all later versions. After a takeover, slots that the former holder may still use are taken off the cap share as well, because its requests count against the region's cap. Conclusion: three hosts that apply versions at different times never exceed an upstream's slots or the cap in the property test.

--- /dev/null
+++ b/samphirebend/limits.py
@@ -0,0 +1,282 @@
+"""Slots and connections in use, under the limits of the shards held.
+
+The request path reserves a slot before it dispatches. A limit is the lowest
+over the active manifest version and all versions applied after it: reductions
+apply at once, additional slots only after `activate`, when no other host
+exceeds its new limits any more.
+"""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from .errorcodes import ErrorKind
+from .manifest import Manifest, Upstream
+from .shards import assign, cap_shares
+
+
+class Slot:
+    """A reserved slot; released once."""
+
+    __slots__ = ("in_use", "region", "upstream")
+
+    def __init__(self, upstream: str, region: str) -> None:
+        self.upstream = upstream
+        self.region = region
+        self.in_use = True
+
+
+class Room:
+    """Requests in flight and their limit at one upstream."""
+
+    __slots__ = ("in_flight", "limit", "upstream")
+
+    def __init__(self, upstream: str, in_flight: int, limit: int) -> None:
+        self.upstream = upstream
+        self.in_flight = in_flight
+        self.limit = limit
+
+
+class _Waits:
+    """Times of takeovers, and the latest time that the owner was told."""
+
+    __slots__ = ("now", "taken_at")
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.taken_at: dict[str, float] = {}  # by shard
+
+
+class _Plan:
+    """Limits that one manifest version gives to each shard."""
+
+    __slots__ = ("caps", "manifest", "shards", "version")
+
+    def __init__(self, version: int, manifest: Manifest) -> None:
+        self.version = version
+        self.manifest = manifest
+        self.shards = assign(manifest)
+        self.caps = {name: cap_shares(manifest, name) for name in manifest.regions}
+
+    def find(self, upstream: str, held: frozenset[str]) -> Upstream | None:
+        """Return the upstream if its shard is held."""
+        if self.shards.get(upstream) not in held:
+            return None
+        return self.manifest.upstreams[upstream]
+
+    def cap(self, region: str, held: frozenset[str], waits: _Waits) -> int:
+        """Return the usable part of a region's cap.
+
+        A former holder may still have a request at each slot whose wait is not
+        over, so these slots are taken off the share of a shard just taken over.
+        """
+        occupied: dict[str, int] = {}
+        for name, shard in self.shards.items():
+            if shard in waits.taken_at and self.waits(name, waits):
+                slots = self.manifest.upstreams[name].slots
+                occupied[shard] = occupied.get(shard, 0) + slots
+        return sum(
+            max(0, share - occupied.get(shard, 0))
+            for shard, share in self.caps.get(region, {}).items()
+            if shard in held
+        )
+
+    def waits(self, upstream: str, waits: _Waits) -> bool:
+        """Tell whether a former holder's requests may still occupy the upstream."""
+        taken_at = waits.taken_at.get(self.shards[upstream])
+        service = self.manifest.services[self.manifest.upstreams[upstream].service]
+        return taken_at is not None and waits.now < taken_at + service.timeout_s
+
+
+class Limits:
+    """Slots and connections in use on this host."""
+
+    __slots__ = (
+        "_active",
+        "_connections",
+        "_drained",
+        "_held",
+        "_in_flight",
+        "_pending",
+        "_region_in_flight",
+        "_waits",
+    )
+
+    def __init__(self) -> None:
+        self._active: _Plan | None = None
+        self._pending: list[_Plan] = []  # newer than the active one, in order
+        self._held: frozenset[str] = frozenset()
+        self._in_flight: dict[str, int] = {}  # by upstream
+        self._region_in_flight: dict[str, int] = {}
+        self._connections: dict[str, int] = {}  # by upstream
+        self._drained = 0
+        self._waits = _Waits()
+
+    def apply(self, version: int, manifest: Manifest, now: float) -> None:
+        """Apply a newer version: its reductions now, the rest after `activate`."""
+        self._waits.now = max(self._waits.now, now)
+        if version > self._newest_version():
+            self._pending.append(_Plan(version, manifest))
+            self._update_drained()
+
+    def activate(self, version: int) -> None:
+        """Allow the additional slots of an applied version."""
+        for index, plan in enumerate(self._pending):
+            if plan.version == version:
+                self._active = plan
+                del self._pending[: index + 1]
+                return
+
+    def active_version(self) -> int:
+        """Return the version whose additional slots are in use, or 0."""
+        return self._active.version if self._active else 0
+
+    def set_held(self, shards: frozenset[str], now: float) -> None:
+        """Replace the set of shards that are usable now."""
+        self._waits.now = max(self._waits.now, now)
+        self._held = shards
+        self._update_drained()
+
+    def note_takeover(self, shard: str, now: float) -> None:
+        """Delay dispatches to a shard: the former holder's may still be running."""
+        self._waits.taken_at[shard] = now
+
+    def reserve(self, upstream: str, now: float) -> Result[Slot, ErrorKind]:
+        """Take a slot, or return the limit that is reached."""
+        self._waits.now = max(self._waits.now, now)
+        if not self._plans():
+            return Err(ErrorKind.NO_MANIFEST)
+        found = self._plans()[-1].manifest.upstreams.get(upstream)
+        if found is None:
+            return Err(ErrorKind.NO_UPSTREAM)
+        if not self._usable(found):
+            return Err(ErrorKind.LEASE_LAPSED)
+        if self._in_flight.get(upstream, 0) >= self._limit(upstream):
+            return Err(ErrorKind.CAP_REACHED)
+        if self._region_free(found.region) < 1:
+            return Err(ErrorKind.REGION_CAP_REACHED)
+        _add(self._in_flight, upstream, 1)
+        _add(self._region_in_flight, found.region, 1)
+        return Ok(Slot(upstream, found.region))
+
+    def release(self, slot: Slot) -> None:
+        """Return a slot; a second call has no effect."""
+        if slot.in_use:
+            slot.in_use = False
+            _add(self._in_flight, slot.upstream, -1)
+            _add(self._region_in_flight, slot.region, -1)
+            self._update_drained()
+
+    def reserve_connection(self, upstream: str) -> Result[None, ErrorKind]:
+        """Count a new connection to an upstream, or refuse it."""
+        plans = self._plans()
+        if not plans:
+            return Err(ErrorKind.NO_MANIFEST)
+        found = plans[-1].manifest.upstreams.get(upstream)
+        if found is None:
+            return Err(ErrorKind.NO_UPSTREAM)
+        if not self._usable(found):
+            return Err(ErrorKind.LEASE_LAPSED)
+        limit = min(self._connection_limit(plan, upstream) for plan in plans)
+        if self._connections.get(upstream, 0) >= limit:
+            return Err(ErrorKind.CAP_REACHED)
+        _add(self._connections, upstream, 1)
+        return Ok(None)
+
+    def release_connection(self, upstream: str) -> None:
+        """Count a closed connection."""
+        _add(self._connections, upstream, -1)
+        self._update_drained()
+
+    def rooms(self, service: str) -> list[Room]:
+        """Return the usable upstreams of a service with their limits."""
+        if self._active is None:
+            return []
+        found = self._plans()[-1].manifest.services.get(service)
+        rooms = []
+        for upstream in found.upstreams if found else []:
+            limit = self._limit(upstream.name)
+            if limit and self._usable(upstream):
+                in_flight = self._in_flight.get(upstream.name, 0)
+                rooms.append(Room(upstream.name, in_flight, limit))
+        return rooms
+
+    def free(self, service: str) -> int:
+        """Return the slots of a service that can be reserved now."""
+        free: dict[str, int] = {}
+        for room in self.rooms(service):
+            region = self._plans()[-1].manifest.upstreams[room.upstream].region
+            unused = max(0, room.limit - room.in_flight)
+            free[region] = free.get(region, 0) + unused
+        return sum(min(n, self._region_free(region)) for region, n in free.items())
+
+    def total(self, service: str) -> int:
+        """Return the slots of a service at the usable upstreams."""
+        return sum(room.limit for room in self.rooms(service))
+
+    def drained_version(self) -> int:
+        """Return the highest version that no request or connection exceeds."""
+        return self._drained
+
+    def _plans(self) -> list[_Plan]:
+        return ([self._active] if self._active else []) + self._pending
+
+    def _newest_version(self) -> int:
+        plans = self._plans()
+        return plans[-1].version if plans else 0
+
+    def _usable(self, upstream: Upstream) -> bool:
+        """Tell whether the shard is held in all plans and its wait is over."""
+        if self._active is None:
+            return False
+        if any(not plan.find(upstream.name, self._held) for plan in self._plans()):
+            return False
+        return not any(p.waits(upstream.name, self._waits) for p in self._plans())
+
+    def _limit(self, upstream: str) -> int:
+        if self._active is None:
+            return 0
+        found = [plan.find(upstream, self._held) for plan in self._plans()]
+        return min(item.slots if item else 0 for item in found)
+
+    def _connection_limit(self, plan: _Plan, upstream: str) -> int:
+        found = plan.find(upstream, self._held)
+        return found.connections if found else 0
+
+    def _cap(self, region: str) -> int:
+        if self._active is None:
+            return 0
+        return min(plan.cap(region, self._held, self._waits) for plan in self._plans())
+
+    def _region_free(self, region: str) -> int:
+        return max(0, self._cap(region) - self._region_in_flight.get(region, 0))
+
+    def _update_drained(self) -> None:
+        for plan in reversed(self._plans()):
+            if plan.version <= self._drained:
+                return
+            if self._within(plan):
+                self._drained = plan.version
+                return
+
+    def _within(self, plan: _Plan) -> bool:
+        """Tell whether everything in use is within the limits of a plan."""
+        for name, count in self._in_flight.items():
+            found = plan.find(name, self._held)
+            if count > (found.slots if found else 0):
+                return False
+        for name, count in self._connections.items():
+            if count > self._connection_limit(plan, name):
+                return False
+        return all(
+            count <= plan.cap(region, self._held, self._waits)
+            for region, count in self._region_in_flight.items()
+        )
+
+
+def _add(counts: dict[str, int], name: str, change: int) -> None:
+    count = counts.get(name, 0) + change
+    if count > 0:
+        counts[name] = count
+    else:
+        counts.pop(name, None)
--- /dev/null
+++ b/tests/unit/test_limits.py
@@ -0,0 +1,102 @@
+"""Guards the limits on requests in flight at upstreams and in regions."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, strategies as st
+from result import Err, Ok
+
+from samphirebend.errorcodes import ErrorKind
+from samphirebend.limits import Limits, Slot
+from samphirebend.shards import assign
+
+from .small_manifest import make_manifest
+
+ALL = frozenset({"a", "b", "c"})
+
+
+def make_limits(held: frozenset[str] = ALL, cap: int = 40) -> Limits:
+    limits = Limits()
+    limits.apply(1, make_manifest({"north": sorted(ALL)}, cap=cap), 0.0)
+    limits.set_held(held, 0.0)
+    limits.activate(1)
+    return limits
+
+
+def test_reserve_names_the_limit_that_is_reached() -> None:
+    """Guards against more requests than slots, cap or lease allow."""
+    limits = make_limits(cap=4)
+    slots = [limits.reserve("read-north-0", 0.0) for _ in range(4)]
+    assert [isinstance(slot, Ok) for slot in slots] == [True, True, True, False]
+    assert slots[3] == Err(ErrorKind.CAP_REACHED)
+    assert isinstance(limits.reserve("read-north-1", 0.0), Ok)
+    assert limits.reserve("read-north-1", 0.0) == Err(ErrorKind.REGION_CAP_REACHED)
+    assert limits.free("read") == 0
+    first = slots[0].unwrap()
+    limits.release(first)
+    limits.release(first)
+    assert limits.free("read") == 1
+    limits.set_held(frozenset(), 1.0)
+    assert limits.reserve("read-north-1", 1.0) == Err(ErrorKind.LEASE_LAPSED)
+    assert limits.reserve("nothing", 1.0) == Err(ErrorKind.NO_UPSTREAM)
+    assert Limits().reserve("nothing", 1.0) == Err(ErrorKind.NO_MANIFEST)
+
+
+def test_takeover_waits_for_the_former_holders_requests() -> None:
+    """Guards against a slot that is used by the old and the new holder."""
+    limits = make_limits()
+    shard = assign(make_manifest({"north": sorted(ALL)}))["read-north-0"]
+    limits.note_takeover(shard, 10.0)
+    limits.set_held(ALL, 10.0)
+    assert limits.reserve("read-north-0", 10.9) == Err(ErrorKind.LEASE_LAPSED)
+    assert limits.reserve_connection("read-north-0") == Err(ErrorKind.LEASE_LAPSED)
+    assert isinstance(limits.reserve("read-north-0", 11.1), Ok)
+
+
+def test_connections_are_limited_per_upstream() -> None:
+    """Guards the upstream's connection limit, which one shard owns whole."""
+    limits = make_limits()
+    taken = [limits.reserve_connection("read-north-0") for _ in range(31)]
+    assert taken[29] == Ok(None)
+    assert taken[30] == Err(ErrorKind.CAP_REACHED)
+    limits.release_connection("read-north-0")
+    assert limits.reserve_connection("read-north-0") == Ok(None)
+
+
+@given(st.integers(0, 2**32), st.sampled_from([2, 3]))
+def test_hosts_together_never_exceed_a_limit(seed: int, slots: int) -> None:
+    """Guards a manifest change: a reduction is immediate, a gain waits.
+
+    Three hosts apply versions at different times; each upstream and the cap
+    must hold over all of them together, by the larger of the limits in use.
+    """
+    rng = random.Random(seed)
+    names = sorted(ALL)
+    # Version 2 moves all upstreams between shards; version 3 moves them back.
+    first = make_manifest({"north": names}, cap=12, slots=slots)
+    second = make_manifest({"north": names[1:]}, cap=12, slots=slots)
+    manifests = {1: first, 2: second, 3: first}
+    hosts = {name: Limits() for name in names}
+    applied = dict.fromkeys(names, 1)
+    for name, limits in hosts.items():
+        limits.apply(1, first, 0.0)
+        limits.set_held(frozenset({name}), 0.0)
+        limits.activate(1)
+    open_slots: dict[str, list[Slot]] = {name: [] for name in names}
+    for step in range(150):
+        name = rng.choice(names)
+        limits = hosts[name]
+        if step > 30 and rng.random() < 0.1 and applied[name] < 3:
+            applied[name] = rng.randint(applied[name] + 1, 3)
+            limits.apply(applied[name], manifests[applied[name]], 0.0)
+        if all(h.drained_version() == applied[name] for h in hosts.values()):
+            limits.activate(applied[name])
+        if rng.random() < 0.4 and open_slots[name]:
+            limits.release(open_slots[name].pop())
+        got = limits.reserve(rng.choice(list(first.upstreams)), 0.0)
+        if isinstance(got, Ok):
+            open_slots[name].append(got.ok_value)
+        used = [slot.upstream for taken in open_slots.values() for slot in taken]
+        assert len(used) <= 12
+        assert all(used.count(upstream) <= slots for upstream in set(used))
