Add the lease keeper

Cause: leases need a service that connects them to peers, table and limits. Ruled out: votes asked for as soon as a holder's heartbeat omits the shard (a holder that has just written the row would never be granted its generation); renewing for ever after an abandoned takeover, which a new generation ends. Change: one bounded tick acquires, renews, takes over, returns, releases and activates; every write of a row is distinct, so that a lost response can be resolved by reading the row. Conclusion: unit tests with a fake table and fake peers pass, among them one with random restarts, losses and outages.

--- /dev/null
+++ b/samphirebend/leasekeeper.py
@@ -0,0 +1,612 @@
+"""Runs the shard leases of this process against its peers and the table.
+
+Heartbeats and their replies carry leases and grants; release requests carry
+votes; the table holds one row for each shard. `limits` is told which shards
+are usable, and when a manifest version may be activated.
+
+A row `shard#NAME` has the attributes `holder`, `incarnation`, `generation`,
+`state`, and in addition `witnesses` and `mates` (the hosts whose grants
+count) and `renewal` and `fence`, which make every write distinct, so that a
+write whose response was lost can be told from an earlier one.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, Protocol
+
+from loguru import logger
+from result import Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from .leases import NEVER, Holder, Takeover, Terms, Witness
+from .limits import Limits
+from .manifest import Manifest
+from .shards import score, witnesses
+from .wire import Heartbeat, HeartbeatReply, ReleaseReply, ReleaseRequest, ShardLease
+
+TICK_S: Final = 0.1
+LIVE_S: Final = 1.5
+READ_INTERVAL_S: Final = 0.25
+MAX_LEASES_PER_HEARTBEAT: Final = 256
+MAX_STEPS_PER_TICK: Final = 8
+HELD: Final = "held"
+RELEASED: Final = "released"
+# The generation field of release messages carries the round in its upper half,
+# because a late vote of an earlier round must not count.
+ROUND_SHIFT: Final = 32
+GENERATION_MASK: Final = (1 << ROUND_SHIFT) - 1
+
+
+class TableRow(Protocol):
+    """A row of the table service."""
+
+    @property
+    def key(self) -> str: ...
+
+    @property
+    def revision(self) -> int: ...
+
+    @property
+    def attributes(self) -> dict[str, str | int | bytes]: ...
+
+
+class Table(Protocol):
+    """The part of `TableStore` that is used here."""
+
+    async def get(self, key: str) -> Result[Any, Any]: ...
+
+    async def put(self, row: Any, expected_revision: int) -> Result[None, Any]: ...
+
+
+class Peers(Protocol):
+    """The part of `PeerService` that is used here."""
+
+    heartbeat_fillers: list[Callable[[Heartbeat], None]]
+    heartbeat_listeners: list[Callable[[Heartbeat, float], None]]
+    reply_fillers: list[Callable[[Heartbeat, HeartbeatReply, float], None]]
+    reply_listeners: list[Callable[[HeartbeatReply, float, float], None]]
+
+    def send(self, host: str, message: Any) -> object: ...
+
+    def on_message(self, kind: Any, handler: Callable[[Any, Any], None]) -> object: ...
+
+
+MakeRow = Callable[[str, int, dict[str, str | int | bytes]], Any]
+
+
+class _Peer:
+    """What a host's last heartbeat said about leases."""
+
+    __slots__ = ("drained_version", "heard_at", "shards", "stopping")
+
+    def __init__(self, heartbeat: Heartbeat, now: float) -> None:
+        self.heard_at = now
+        self.stopping = heartbeat.stopping
+        self.drained_version = heartbeat.drained_version
+        self.shards = {item.name: item.generation for item in heartbeat.shards}
+
+
+class _ShardRow:
+    """A parsed shard row."""
+
+    __slots__ = ("attributes", "generation", "holder", "incarnation", "revision")
+
+    def __init__(self, row: TableRow) -> None:
+        self.attributes = dict(row.attributes)
+        self.revision = row.revision
+        self.holder = str(row.attributes.get("holder", ""))
+        self.incarnation = int(row.attributes.get("incarnation", 0))
+        self.generation = int(row.attributes.get("generation", 0))
+
+    def released(self) -> bool:
+        """Tell whether the holder gave the shard up by itself."""
+        return self.attributes.get("state") == RELEASED
+
+    def terms(self) -> Terms:
+        """Return the hosts whose grants count for the row's generation."""
+        return Terms(_read_names(self, "witnesses"), _read_names(self, "mates"))
+
+
+def _read_names(row: _ShardRow, name: str) -> frozenset[str]:
+    text = row.attributes.get(name, "")
+    return (
+        frozenset(text.split("\n")) if isinstance(text, str) and text else frozenset()
+    )
+
+
+class LeaseKeeper:
+    """Acquires, renews, takes over and returns shard leases."""
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        lease_s: float,
+        peers: Peers,
+        table: Table,
+        make_row: MakeRow,
+        limits: Limits,
+        reactor: Any,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create the service; `clock` is also the clock of the peers' hooks.
+
+        The reactor only drives the ticks: its own clock follows the wall
+        clock, which may be set back.
+        """
+        self._host = host
+        self._incarnation = incarnation
+        self._lease_s = lease_s
+        self._peers = peers
+        self._table = table
+        self._make_row = make_row
+        self._limits = limits
+        self._clock = clock
+        self._started_at = clock()
+        self._holder = Holder(host, lease_s)
+        self._witness = Witness(self._started_at, lease_s)
+        self._takeovers: dict[str, Takeover] = {}
+        self._rows: dict[str, _ShardRow] = {}  # as last read or written
+        self._read_at: dict[str, float] = {}
+        self._dropped: dict[str, int] = {}  # generations not to be used again
+        self._taken_at: dict[str, float] = {}
+        self._returning: dict[str, float] = {}  # shard to start of its drain
+        self._heard: dict[str, _Peer] = {}
+        self._busy: set[str] = set()  # shards with a table operation under way
+        self._version = 0
+        self._highest_version = 0  # heard from any peer
+        self._manifest: Manifest | None = None
+        self._old_shards: frozenset[str] = frozenset()  # until activation
+        self._stopping = False
+        self._renewals = 0
+        self._written_on: dict[str, int] = {}  # revision of the last row write
+        self._acquired_at: dict[str, float] = {}
+        self._loop = LoopingCall(self.tick)
+        self._loop.clock = reactor
+        peers.heartbeat_fillers.append(self._fill_heartbeat)
+        peers.heartbeat_listeners.append(self._note_heartbeat)
+        peers.reply_fillers.append(self._fill_reply)
+        peers.reply_listeners.append(self._note_reply)
+        peers.on_message(ReleaseRequest, self._answer_release)
+        peers.on_message(ReleaseReply, self._note_vote)
+
+    def start(self) -> None:
+        """Start the periodic tick."""
+        self._loop.start(TICK_S, now=True)
+
+    def stop(self) -> None:
+        """Stop the periodic tick; leases not released expire."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def note_manifest(self, version: int, manifest: Manifest) -> None:
+        """Use a newer manifest in force; `limits` applies it before this call."""
+        if version <= self._version:
+            return
+        self._old_shards |= self._region_shards()
+        self._version = version
+        self._manifest = manifest
+
+    def held(self, now: float) -> frozenset[str]:
+        """Return the shards whose slots may be used now."""
+        return frozenset(
+            shard for shard in self._holder.shards() if self.may_dispatch(shard, now)
+        )
+
+    def may_dispatch(self, shard: str, now: float) -> bool:
+        """Tell whether the lease is valid and the shard is not being returned."""
+        return self._holder.valid(shard, now) and shard not in self._returning
+
+    def generation(self, shard: str) -> int | None:
+        """Return the generation of a lease held, valid or not."""
+        return self._holder.shards().get(shard)
+
+    def usable_after(self, shard: str, service: str, now: float) -> float:
+        """Return the time until which dispatches wait after a takeover."""
+        taken_at = self._taken_at.get(shard)
+        if taken_at is None or self._manifest is None:
+            return now
+        found = self._manifest.services.get(service)
+        return max(now, taken_at + (found.timeout_s if found else 0.0))
+
+    async def release_all(self) -> None:
+        """Give up all leases and say so in the table; acquire none afterwards.
+
+        To be called when no request is in flight any more. A row that cannot
+        be written keeps its state, and the next holder needs votes.
+        """
+        self._stopping = True
+        shards = sorted(self._holder.shards())
+        for shard in shards:
+            await self._release(shard)
+
+    def tick(self) -> None:
+        """Do what is due: start table steps, update limits, activate."""
+        now = self._clock()
+        self._limits.set_held(self.held(now), now)
+        if self._manifest is None or self._stopping:
+            return
+        self._update_returns(now)
+        started = 0
+        for shard, step in self._due_steps(now):
+            if shard not in self._busy and started < MAX_STEPS_PER_TICK:
+                started += 1
+                self._run(shard, step(shard))
+        self._activate(now)
+
+    def _run(self, shard: str, step: Coroutine[Any, Any, None]) -> None:
+        self._busy.add(shard)
+
+        def finish(outcome: object) -> None:
+            self._busy.discard(shard)
+            if outcome is not None:
+                logger.error("lease step failed for {}: {}", shard, outcome)
+
+        Deferred.fromCoroutine(step).addBoth(finish)
+
+    def _due_steps(
+        self, now: float
+    ) -> list[tuple[str, Callable[[str], Coroutine[Any, Any, None]]]]:
+        """Return shards with the step that each needs, most urgent first."""
+        steps: list[tuple[str, Callable[[str], Coroutine[Any, Any, None]]]] = []
+        leases = self._holder.shards()
+        for shard in leases:
+            if self._drained(shard, now):
+                steps.append((shard, self._release))
+            elif self._holder.needs_renewal(shard, now) or self._terms_differ(shard):
+                steps.append((shard, self._renew))
+        for shard in sorted(self._region_shards() | self._old_shards):
+            due = now >= self._read_at.get(shard, NEVER) + READ_INTERVAL_S
+            if shard not in leases and due and self._wants(shard, now):
+                steps.append((shard, self._acquire))
+        steps.extend((shard, self._fence) for shard in self._witness.to_fence())
+        return steps
+
+    # What this host should hold
+
+    def _region_shards(self) -> frozenset[str]:
+        """Return the shards of this host's region; empty if it is not configured."""
+        if self._manifest is None or self._host not in self._manifest.hosts:
+            return frozenset()
+        region = self._manifest.hosts[self._host].region
+        return frozenset(self._manifest.hosts_of(region))
+
+    def _is_live(self, host: str, now: float) -> bool:
+        """Tell whether a host was heard lately and is not stopping."""
+        if host == self._host:
+            return not self._stopping
+        peer = self._heard.get(host)
+        return peer is not None and not peer.stopping and now < peer.heard_at + LIVE_S
+
+    def _unheard_for(self, host: str, duration_s: float, now: float) -> bool:
+        """Tell whether a host is stopping or was not heard for a duration."""
+        peer = self._heard.get(host)
+        if peer is not None and peer.stopping:
+            return True
+        since = peer.heard_at if peer else self._started_at
+        return host != self._host and now >= since + duration_s
+
+    def _has_given_up(self, shard: str, row: _ShardRow, now: float) -> bool:
+        """Tell whether the holder in a row is not heard or lists other leases."""
+        peer = self._heard.get(row.holder)
+        if row.holder == self._host or peer is None:
+            return row.holder == self._host or self._unheard_for(
+                row.holder, LIVE_S, now
+            )
+        listed = peer.shards.get(shard) == row.generation
+        return not listed or now >= peer.heard_at + LIVE_S
+
+    def _wants(self, shard: str, now: float) -> bool:
+        """Tell whether this host should try to hold a shard."""
+        if self._version < self._highest_version:
+            return False
+        if shard == self._host:
+            return shard in self._region_shards()
+        if self._is_live(shard, now) or not self._unheard_for(shard, LIVE_S, now):
+            return False
+        if any(
+            shard in other.shards and now < other.heard_at + LIVE_S
+            for other in self._heard.values()
+        ):
+            return False
+        live = [name for name in self._region_shards() if self._is_live(name, now)]
+        return max(live, key=lambda name: score(shard, name), default="") == self._host
+
+    def _update_returns(self, now: float) -> None:
+        """Start to drain shards whose configured host is live again or removed."""
+        for shard in self._holder.shards():
+            removed = shard not in self._region_shards()
+            peer = self._heard.get(shard)
+            wanted = peer is not None and shard not in peer.shards
+            back = shard != self._host and self._is_live(shard, now) and wanted
+            if removed or back:
+                self._returning.setdefault(shard, now)
+            else:
+                self._returning.pop(shard, None)
+
+    def _drained(self, shard: str, now: float) -> bool:
+        if shard not in self._returning:
+            return False
+        return self._limits.shard_in_flight(shard) == 0
+
+    def _terms(self, shard: str) -> Terms:
+        """Return the hosts that count under the manifest in force."""
+        if self._manifest is None:
+            return Terms(frozenset(), frozenset())
+        return Terms(frozenset(witnesses(self._manifest, shard)), self._region_shards())
+
+    def _terms_differ(self, shard: str) -> bool:
+        return shard in self._region_shards() and (
+            self._holder.terms(shard) != self._terms(shard)
+        )
+
+    def _activate(self, now: float) -> None:
+        """Activate the newest version when all holders in the region apply it."""
+        if self._limits.active_version() >= self._version:
+            return
+        if self._version < self._highest_version:
+            return
+        shards = self._region_shards() | self._old_shards
+        if shards and all(self._applies(shard, now) for shard in shards):
+            self._limits.activate(self._version)
+            if self._limits.active_version() == self._version:
+                self._old_shards = frozenset()
+
+    def _applies(self, shard: str, now: float) -> bool:
+        """Tell whether a shard's holder has drained to exactly this version.
+
+        A later version does not count: a host that skipped this version never
+        applied its reductions.
+        """
+        if shard in self._holder.shards():
+            return self._limits.drained_version() == self._version
+        row = self._rows.get(shard)
+        if shard not in self._region_shards() and row is not None and row.released():
+            return True
+        return any(
+            shard in peer.shards
+            and peer.drained_version == self._version
+            and now < peer.heard_at + LIVE_S
+            for peer in self._heard.values()
+        )
+
+    # Table steps: at most one read and one write each
+
+    async def _read(self, shard: str) -> _ShardRow | None:
+        """Read a row; None if it is missing or the table gave no answer."""
+        self._read_at[shard] = self._clock()
+        found = await self._table.get(f"shard#{shard}")
+        if not isinstance(found, Ok) or found.ok_value is None:
+            return None
+        row = _ShardRow(found.ok_value)
+        self._rows[shard] = row
+        self._witness.learn(shard, row.generation)
+        return row
+
+    async def _write(
+        self, shard: str, revision: int, attributes: dict[str, str | int | bytes]
+    ) -> bool:
+        self._written_on[shard] = revision
+        row = self._make_row(f"shard#{shard}", revision + 1, attributes)
+        answer = await self._table.put(row, revision)
+        if not isinstance(answer, Ok):
+            # The write may have taken effect: the next step reads the row.
+            self._rows.pop(shard, None)
+            return False
+        self._rows[shard] = _ShardRow(row)
+        return True
+
+    def _attributes(
+        self, generation: int, terms: Terms, state: str
+    ) -> dict[str, str | int | bytes]:
+        self._renewals += 1
+        return {
+            "holder": self._host,
+            "incarnation": self._incarnation,
+            "generation": generation,
+            "state": state,
+            "witnesses": "\n".join(sorted(terms.witnesses)),
+            "mates": "\n".join(sorted(terms.mates)),
+            "renewal": self._renewals,
+            "fence": "",
+        }
+
+    def _is_own(self, row: _ShardRow) -> bool:
+        return row.holder == self._host and row.incarnation == self._incarnation
+
+    async def _own_row(self, shard: str) -> _ShardRow | None:
+        """Return the row of a lease held; drop the lease if another holds it."""
+        row = self._rows.get(shard) or await self._read(shard)
+        generation = self.generation(shard)
+        if row is None or generation is None:
+            return None
+        if not self._is_own(row) or row.generation != generation:
+            self._drop(shard)
+            return None
+        return row
+
+    def _drop(self, shard: str) -> None:
+        generation = self.generation(shard)
+        if generation is not None:
+            self._dropped[shard] = generation
+        self._holder.drop(shard)
+        self._returning.pop(shard, None)
+        now = self._clock()
+        self._limits.set_held(self.held(now), now)
+
+    async def _renew(self, shard: str) -> None:
+        """Renew a lease, with the terms of the manifest in force."""
+        row = await self._own_row(shard)
+        generation = self.generation(shard)
+        if row is None or generation is None:
+            return
+        if row.revision > self._written_on.get(shard, 0):
+            self._holder.settle_terms(shard, row.terms())
+        terms = self._terms(shard)
+        if shard not in self._region_shards():
+            terms = row.terms()
+        self._holder.propose_terms(shard, terms)
+        sent_at = self._clock()
+        renewed = generation + self._must_renumber(shard, sent_at)
+        attributes = self._attributes(renewed, terms, HELD)
+        took_effect = await self._write(shard, row.revision, attributes)
+        if not took_effect or self.generation(shard) != generation:
+            return
+        if renewed > generation:
+            self._acquired(shard, renewed, terms, sent_at, waits=False)
+        else:
+            self._holder.settle_terms(shard, terms)
+            self._holder.note_renewal(shard, generation, sent_at)
+
+    def _must_renumber(self, shard: str, now: float) -> bool:
+        """Tell whether the witnesses seem to have released this generation.
+
+        They never grant it again after an abandoned takeover; without a new
+        generation, the holder would renew in the table for ever.
+        """
+        age = now - self._acquired_at.get(shard, now)
+        return age > 2 * self._lease_s and not self._holder.granted_by_peers(shard, now)
+
+    async def _release(self, shard: str) -> None:
+        """Stop using a lease, then write that the next holder may start."""
+        generation, terms = self.generation(shard), self._holder.terms(shard)
+        if generation is None or terms is None:
+            return
+        self._drop(shard)
+        for _ in range(2):
+            row = self._rows.get(shard) or await self._read(shard)
+            if row is None or not self._is_own(row) or row.generation != generation:
+                return
+            attributes = self._attributes(generation, terms, RELEASED)
+            if await self._write(shard, row.revision, attributes):
+                return
+
+    async def _acquire(self, shard: str) -> None:
+        """Create a row, take a released shard, or go on with a takeover."""
+        if self._stopping:
+            return
+        self._read_at[shard] = self._clock()
+        found = await self._table.get(f"shard#{shard}")
+        if not isinstance(found, Ok):
+            return
+        if found.ok_value is None:
+            now = self._clock()
+            if shard == self._host or self._unheard_for(shard, self._lease_s, now):
+                await self._take(shard, 0, 1, waits=False)
+            return
+        row = _ShardRow(found.ok_value)
+        self._rows[shard] = row
+        self._witness.learn(shard, row.generation)
+        if row.released():
+            await self._take(shard, row.revision, row.generation + 1, waits=False)
+        elif self._is_own(row):
+            await self._adopt(shard, row)
+        elif self._has_given_up(shard, row, self._clock()):
+            await self._take_over(shard, row)
+
+    async def _adopt(self, shard: str, row: _ShardRow) -> None:
+        """Use a row that this process wrote without seeing the result."""
+        if row.generation <= self._dropped.get(shard, 0):
+            await self._take(shard, row.revision, row.generation + 1, waits=True)
+            return
+        self._acquired(shard, row.generation, row.terms(), NEVER, waits=True)
+
+    async def _take_over(self, shard: str, row: _ShardRow) -> None:
+        takeover = self._takeovers.get(shard)
+        if takeover is None:
+            takeover = Takeover(self._lease_s, self._incarnation % (1 << 30))
+            self._takeovers[shard] = takeover
+        now = self._clock()
+        takeover.observe(row.holder, row.generation, row.revision, row.terms(), now)
+        if takeover.may_write(now):
+            await self._take(shard, row.revision, row.generation + 1, waits=True)
+            return
+        # A holder that has just written the row may not have sent a heartbeat
+        # yet; a vote would keep its generation from ever being granted.
+        unheard = self._unheard_for(row.holder, self._lease_s, now)
+        if not (unheard or takeover.waited(now) or row.holder == self._host):
+            return
+        tagged = takeover.round << ROUND_SHIFT | row.generation
+        for host in takeover.missing():
+            if host != self._host:
+                self._peers.send(host, ReleaseRequest(shard, tagged, self._host))
+            elif self._witness.vote(shard, row.generation, now):
+                takeover.note_vote(host, row.generation, takeover.round)
+
+    async def _take(
+        self, shard: str, revision: int, generation: int, waits: bool
+    ) -> None:
+        """Write the row with a new generation and use it once acknowledged."""
+        terms = self._terms(shard)
+        sent_at = self._clock()
+        attributes = self._attributes(generation, terms, HELD)
+        if not await self._write(shard, revision, attributes):
+            return
+        self._acquired(shard, generation, terms, sent_at, waits)
+
+    def _acquired(
+        self, shard: str, generation: int, terms: Terms, sent_at: float, waits: bool
+    ) -> None:
+        now = self._clock()
+        self._holder.acquire(shard, generation, terms, sent_at)
+        self._acquired_at[shard] = now
+        self._witness.learn(shard, generation)
+        if waits:
+            self._taken_at[shard] = now
+            self._limits.note_takeover(shard, now)
+        self._limits.set_held(self.held(now), now)
+        logger.info("shard {} acquired, generation {}", shard, generation)
+
+    async def _fence(self, shard: str) -> None:
+        """Raise the revision of a row, so that older votes of this host are void."""
+        row = await self._read(shard)
+        if row is None:
+            self._witness.forget(shard)
+            return
+        fence = f"{self._host}.{self._incarnation}"
+        attributes = row.attributes | {"fence": fence}
+        if await self._write(shard, row.revision, attributes):
+            self._witness.note_fenced(shard, row.generation)
+
+    # Hooks of the peer service
+
+    def _fill_heartbeat(self, heartbeat: Heartbeat) -> None:
+        heartbeat.shards = [
+            ShardLease(shard, generation)
+            for shard, generation in sorted(self._holder.shards().items())
+        ]
+        heartbeat.drained_version = self._limits.drained_version()
+
+    def _note_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        self._heard[heartbeat.host] = _Peer(heartbeat, now)
+        self._highest_version = max(self._highest_version, heartbeat.manifest_version)
+
+    def _fill_reply(
+        self, heartbeat: Heartbeat, reply: HeartbeatReply, now: float
+    ) -> None:
+        if heartbeat.host == self._host:
+            return
+        for lease in heartbeat.shards[:MAX_LEASES_PER_HEARTBEAT]:
+            if self._witness.grant(lease.name, lease.generation, now):
+                reply.grants.append(lease)
+
+    def _note_reply(self, reply: HeartbeatReply, sent_at: float, now: float) -> None:
+        self._highest_version = max(self._highest_version, reply.manifest_version)
+        for lease in reply.grants:
+            self._holder.note_grant(lease.name, lease.generation, reply.host, sent_at)
+
+    def _answer_release(
+        self, request: ReleaseRequest, respond: Callable[[Any], object]
+    ) -> None:
+        generation = request.generation & GENERATION_MASK
+        granted = self._witness.vote(request.shard, generation, self._clock())
+        respond(ReleaseReply(request.shard, request.generation, granted, self._host))
+
+    def _note_vote(self, reply: ReleaseReply, respond: object) -> None:
+        takeover = self._takeovers.get(reply.shard)
+        if takeover is not None and reply.granted:
+            generation = reply.generation & GENERATION_MASK
+            takeover.note_vote(reply.host, generation, reply.generation >> ROUND_SHIFT)
--- a/samphirebend/leases.py
+++ b/samphirebend/leases.py
@@ -62,7 +62,7 @@
     def __init__(self, generation: int, terms: Terms, renewed_at: float) -> None:
         self.generation = generation
         self.terms = terms
-        self.proposed: Terms | None = None  # in a write with unknown result
+        self.proposed: list[Terms] = []  # in writes that may yet take effect
         self.renewed_at = renewed_at  # send time of the last renewal
         self.granted_at: dict[str, float] = {}  # witness to send time
 
@@ -98,12 +98,14 @@
 
     def propose_terms(self, shard: str, terms: Terms) -> None:
         """Require old and new terms from before the row is written with new ones."""
-        self._leases[shard].proposed = terms
+        proposed = self._leases[shard].proposed
+        if terms not in proposed:
+            proposed.append(terms)
 
     def settle_terms(self, shard: str, terms: Terms) -> None:
-        """Record the terms that the row is known to contain."""
+        """Record the row's terms once no earlier write can change them."""
         self._leases[shard].terms = terms
-        self._leases[shard].proposed = None
+        self._leases[shard].proposed.clear()
 
     def note_grant(
         self, shard: str, generation: int, witness: str, sent_at: float
@@ -127,6 +129,11 @@
             return False
         return max(self._peers_until(lease), lease.renewed_at + self._lease_s) > now
 
+    def granted_by_peers(self, shard: str, now: float) -> bool:
+        """Tell whether M or R holds."""
+        lease = self._leases.get(shard)
+        return lease is not None and self._peers_until(lease) > now
+
     def needs_renewal(self, shard: str, now: float) -> bool:
         """Tell whether M and R have too little left, and T as well."""
         lease = self._leases.get(shard)
@@ -137,7 +144,7 @@
 
     def _peers_until(self, lease: _Lease) -> float:
         """Return the end of M or R; both sets count while a change is pending."""
-        both = [lease.terms] + ([lease.proposed] if lease.proposed else [])
+        both = [lease.terms, *lease.proposed]
         majority = min(self._majority_at(lease, terms) for terms in both)
         region = min(self._region_at(lease, terms) for terms in both)
         return max(majority, region) + self._lease_s
@@ -245,7 +252,7 @@
         "round",
     )
 
-    def __init__(self, lease_s: float) -> None:
+    def __init__(self, lease_s: float, first_round: int = 0) -> None:
         self._blocking_s = blocking_time(lease_s)
         self._holder = ""
         self._terms = Terms(frozenset(), frozenset())
@@ -253,7 +260,7 @@
         self._votes: set[str] = set()
         self.generation = 0
         self.revision = 0
-        self.round = 0  # number of revisions seen
+        self.round = first_round  # raised with each revision seen
 
     def observe(
         self, holder: str, generation: int, revision: int, terms: Terms, now: float
@@ -278,6 +285,10 @@
         if round_ == self.round and generation == self.generation:
             self._votes.add(witness)
 
+    def waited(self, now: float) -> bool:
+        """Tell whether the row was unchanged until any renewal has expired."""
+        return now >= self._since + self._blocking_s
+
     def missing(self) -> list[str]:
         """Return the hosts that have not voted in this round."""
         hosts = self._terms.witnesses | self._terms.mates
@@ -285,11 +296,7 @@
 
     def may_write(self, now: float) -> bool:
         """Tell whether M, R and T of the former holder are all blocked."""
-        return (
-            self._majority_blocked()
-            and self._region_blocked()
-            and self._renewal_blocked(now)
-        )
+        return self._majority_blocked() and self._region_blocked() and self.waited(now)
 
     def _majority_blocked(self) -> bool:
         # A vote of the holder's own host does not count: a former process of
@@ -301,6 +308,3 @@
     def _region_blocked(self) -> bool:
         others = self._terms.mates - {self._holder}
         return not others or bool(others & self._votes)
-
-    def _renewal_blocked(self, now: float) -> bool:
-        return now >= self._since + self._blocking_s
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -214,6 +214,15 @@
         """Return the slots of a service at the usable upstreams."""
         return sum(room.limit for room in self.rooms(service))
 
+    def shard_in_flight(self, shard: str) -> int:
+        """Return the requests in flight at a shard's upstreams."""
+        plans = self._plans()
+        return sum(
+            count
+            for name, count in self._in_flight.items()
+            if any(plan.shards.get(name) == shard for plan in plans)
+        )
+
     def drained_version(self) -> int:
         """Return the highest version that no request or connection exceeds."""
         return self._drained
--- a/samphirebend/shards.py
+++ b/samphirebend/shards.py
@@ -30,7 +30,8 @@
         self.receiving = receiving  # from callers in the other region
 
 
-def _score(key: str, host: str) -> int:
+def score(key: str, host: str) -> int:
+    """Return the rendezvous hash of a key and a host."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{host}".encode())
 
 
@@ -55,7 +56,7 @@
         return {}
     room = dict.fromkeys(hosts, -(-len(upstreams) // len(hosts)))
     pairs = sorted(
-        ((_score(name, host), name, host) for name in upstreams for host in hosts),
+        ((score(name, host), name, host) for name in upstreams for host in hosts),
         reverse=True,
     )
     shards: dict[str, str] = {}
@@ -101,7 +102,7 @@
     """Return the hosts that witness a shard's lease, its own host first."""
     others = sorted(
         (name for name in manifest.hosts if name != shard),
-        key=lambda name: (-_score(shard, name), name),
+        key=lambda name: (-score(shard, name), name),
     )
     return [shard, *others[: MAX_WITNESSES - 1]]
 
--- /dev/null
+++ b/tests/unit/test_leasekeeper.py
@@ -0,0 +1,275 @@
+"""Guards the running of shard leases over peers and the table."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from hypothesis import given, settings, strategies as st
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from samphirebend.leasekeeper import LeaseKeeper
+from samphirebend.limits import Limits
+from samphirebend.wire import Heartbeat, HeartbeatReply, decode, encode
+
+from .small_manifest import REGIONS, make_manifest
+
+MANIFEST = make_manifest()
+LEASE_S = 3.0
+
+
+class FakeRow:
+    def __init__(self, key: str, revision: int, attributes: dict[str, Any]) -> None:
+        self.key, self.revision, self.attributes = key, revision, attributes
+
+
+class FakeTable:
+    """Conditional writes with outages and responses lost after the write."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.rows: dict[str, FakeRow] = {}
+        self.up = True
+        self.loss = 0.0
+        self.writes = 0
+
+    async def _pause(self) -> None:
+        done: Deferred[None] = Deferred()
+        self.world.clock.callLater(0.01, done.callback, None)
+        await done
+
+    async def get(self, key: str) -> Result[FakeRow | None, str]:
+        await self._pause()
+        return Ok(self.rows.get(key)) if self.up else Err("UNAVAILABLE")
+
+    async def put(self, row: FakeRow, expected_revision: int) -> Result[None, str]:
+        await self._pause()
+        found = self.rows.get(row.key)
+        if not self.up:
+            return Err("UNAVAILABLE")
+        if (found.revision if found else 0) != expected_revision:
+            return Err("CONFLICT")
+        self.rows[row.key] = row
+        self.writes += 1
+        lost = self.world.rng.random() < self.loss
+        return Err("UNAVAILABLE") if lost else Ok(None)
+
+
+class Node:
+    """One process: keeper, limits and a stand-in for the peer service."""
+
+    def __init__(self, world: World, host: str, incarnation: int) -> None:
+        self.world, self.host, self.incarnation = world, host, incarnation
+        self.frozen = self.stopping = False
+        self.handlers: dict[type, Callable[[Any, Any], None]] = {}
+        self.heartbeat_fillers: list[Callable[[Heartbeat], None]] = []
+        self.heartbeat_listeners: list[Callable[[Heartbeat, float], None]] = []
+        self.reply_fillers: list[Callable[..., None]] = []
+        self.reply_listeners: list[Callable[..., None]] = []
+        self.limits = Limits()
+        self.limits.apply(1, MANIFEST, 0.0)
+        self.keeper = LeaseKeeper(
+            host,
+            incarnation,
+            LEASE_S,
+            self,
+            world.table,
+            FakeRow,
+            self.limits,
+            world.clock,
+            world.clock.seconds,
+        )
+        self.keeper.note_manifest(1, MANIFEST)
+
+    def on_message(self, kind: type, handler: Callable[[Any, Any], None]) -> None:
+        self.handlers[kind] = handler
+
+    def send(self, host: str, message: Any) -> None:
+        def answer(reply: Any) -> None:
+            self.world.post(host, self.host, lambda node: node.receive(reply, None))
+
+        self.world.post(self.host, host, lambda node: node.receive(message, answer))
+
+    def receive(self, message: Any, respond: Any) -> None:
+        message = decode(encode(message))
+        self.handlers[type(message)](message, respond)
+
+    def send_heartbeats(self) -> None:
+        heartbeat = Heartbeat(self.host, self.incarnation, 1)
+        heartbeat.stopping = self.stopping
+        for fill in self.heartbeat_fillers:
+            fill(heartbeat)
+        sent_at = self.world.clock.seconds()
+        for host in self.world.nodes:
+            if host != self.host:
+                self.world.post(
+                    self.host, host, lambda n: n.note(heartbeat, self, sent_at)
+                )
+
+    def note(self, heartbeat: Heartbeat, sender: Node, sent_at: float) -> None:
+        now = self.world.clock.seconds
+        for listen in self.heartbeat_listeners:
+            listen(heartbeat, now())
+        reply = HeartbeatReply(self.host, self.incarnation, 1)
+        for fill in self.reply_fillers:
+            fill(heartbeat, reply, now())
+
+        def receive(node: Node) -> None:
+            if node is sender:
+                for listen in node.reply_listeners:
+                    listen(reply, sent_at, now())
+
+        self.world.post(self.host, sender.host, receive)
+
+
+class World:
+    """All hosts of the manifest on one clock."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.table = FakeTable(self)
+        self.nodes: dict[str, Node] = {}
+        self.down: set[str] = set()
+        self.loss = 0.0
+        self.incarnations = 0
+        for host in MANIFEST.hosts:
+            self.start(host)
+
+    def start(self, host: str) -> None:
+        if host in self.nodes:
+            self.nodes[host].keeper.stop()
+        self.incarnations += 1
+        self.nodes[host] = Node(self, host, self.incarnations)
+        self.nodes[host].keeper.start()
+        self.down.discard(host)
+
+    def kill(self, host: str) -> None:
+        self.nodes[host].keeper.stop()
+        self.down.add(host)
+
+    def post(self, sender: str, host: str, action: Callable[[Node], None]) -> None:
+        def arrive() -> None:
+            if not {sender, host} & self.down:
+                action(self.nodes[host])
+
+        if self.rng.random() >= self.loss:
+            self.clock.callLater(0.005 + self.rng.random() * 0.03, arrive)
+
+    def run(self, seconds: float) -> None:
+        for step in range(round(seconds * 10)):
+            if step % 5 == 0:
+                for host, node in self.nodes.items():
+                    if host not in self.down:
+                        node.send_heartbeats()
+            self.clock.advance(0.1)
+            self.check()
+
+    def check(self) -> None:
+        """Fail if two hosts may dispatch for one shard."""
+        shards = [s for host in self.nodes for s in self.held(host)]
+        assert len(shards) == len(set(shards)), shards
+
+    def held(self, host: str) -> frozenset[str]:
+        if host in self.down:
+            return frozenset()
+        return self.nodes[host].keeper.held(self.clock.seconds())
+
+    def all_own(self) -> bool:
+        return all(self.held(host) == {host} for host in self.nodes)
+
+
+def test_steady_state_writes_nothing_and_outlives_the_table() -> None:
+    """Guards the table from constant writes, and leases from its outages."""
+    world = World()
+    world.run(8)
+    assert world.all_own()
+    assert all(n.limits.active_version() == 1 for n in world.nodes.values())
+    writes = world.table.writes
+    world.run(20)
+    assert world.table.writes == writes
+    world.table.up = False
+    world.run(30)
+    assert world.all_own()
+
+
+def test_silent_hosts_shard_is_taken_over_and_returned() -> None:
+    """Guards the recovery of capacity after a host dies, and its return."""
+    world = World()
+    world.run(8)
+    world.kill("s1")
+    world.run(6.5)
+    assert world.held("s2") == {"s1", "s2"}
+    now = world.clock.seconds()
+    assert world.nodes["s2"].keeper.usable_after("s1", "write", now) > now
+    world.run(10)
+    world.start("s1")
+    world.run(3)
+    assert world.all_own()
+
+
+def test_planned_stop_hands_over_at_once() -> None:
+    """Guards against a planned stop that costs as much as a crash."""
+    world = World()
+    world.run(8)
+    world.nodes["w1"].stopping = True
+    world.run(1)
+    Deferred.fromCoroutine(world.nodes["w1"].keeper.release_all())
+    world.run(1.5)
+    assert world.held("w2") == {"w1", "w2"}
+    now = world.clock.seconds()
+    assert world.nodes["w2"].keeper.usable_after("w1", "write", now) == now
+
+
+def test_restarted_region_gets_its_shards_back() -> None:
+    """Guards against two restarted hosts that wait for each other."""
+    world = World()
+    world.run(8)
+    world.start("s1")
+    world.start("s2")
+    world.run(12)
+    assert world.all_own()
+    assert world.nodes["s1"].keeper.generation("s1") == 2
+
+
+def test_abandoned_takeover_does_not_cost_writes_for_ever() -> None:
+    """Guards a generation that witnesses released although its holder lives."""
+    world = World()
+    world.run(8)
+    generation = world.nodes["n1"].keeper.generation("n1")
+    world.down.add("n1")
+    world.run(4)
+    world.down.discard("n1")
+    world.run(20)
+    assert world.all_own()
+    assert world.nodes["n1"].keeper.generation("n1") != generation
+    writes = world.table.writes
+    world.run(10)
+    assert world.table.writes == writes
+
+
+@settings(max_examples=15)
+@given(st.integers(0, 2**32))
+def test_recovers_from_any_disturbance_without_overlap(seed: int) -> None:
+    """Guards against overlapping leases, and against a shard lost for ever."""
+    world = World(seed)
+    hosts = sorted(host for region in REGIONS.values() for host in region)
+    for _ in range(8):
+        world.loss = world.rng.choice([0.0, 0.1, 0.5])
+        world.table.loss = world.rng.choice([0.0, 0.3])
+        world.table.up = world.rng.random() < 0.8
+        event, host = world.rng.random(), world.rng.choice(hosts)
+        if event < 0.4:
+            world.kill(host)
+        elif event < 0.8:
+            world.start(host)
+        world.run(world.rng.choice([0.5, 2.0, 4.0]))
+    world.loss = world.table.loss = 0.0
+    world.table.up = True
+    for host in sorted(world.down):
+        world.start(host)
+    world.run(40)
+    assert world.all_own()
