--- a/samphirebend/exchange.py
+++ b/samphirebend/exchange.py
@@ -10,6 +10,7 @@
 
 import base64
 import hashlib
+import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -23,6 +24,7 @@
 
 # Answers up to this size are checked whole before the caller gets a byte.
 HELD_ANSWER_BYTES: Final = 256 * 1024
+NO_SHARE_RECHECK_S: Final = 0.1
 HOP_HEADERS: Final = frozenset(
     (
         b"connection",
@@ -140,7 +142,11 @@
             return
         self._delayed.append(data)
         self.gate.hold("pace")
-        self._call_later(wait_s, self._flush)
+        if math.isinf(wait_s):
+            # The host has no share of the link at the moment.
+            self._call_later(NO_SHARE_RECHECK_S, self._write_again)
+        else:
+            self._call_later(wait_s, self._flush)
 
     def after_writes(self, action: Callable[[], None]) -> None:
         """Run the action once all data is written."""
@@ -153,6 +159,9 @@
         first = self._delayed.pop(0)
         if isinstance(first, bytes):
             self._write(first)
+        self._write_again()
+
+    def _write_again(self) -> None:
         delayed, self._delayed = self._delayed, []
         for item in delayed:
             if isinstance(item, bytes):
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -12,6 +12,7 @@
 
 from .errorcodes import ErrorKind
 from .manifest import Manifest, Upstream
+from .room import Room
 from .shards import assign, cap_shares
 
 
@@ -26,17 +27,6 @@
         self.in_use = True
 
 
-class Room:
-    """Requests in flight and their limit at one upstream."""
-
-    __slots__ = ("in_flight", "limit", "upstream")
-
-    def __init__(self, upstream: str, in_flight: int, limit: int) -> None:
-        self.upstream = upstream
-        self.in_flight = in_flight
-        self.limit = limit
-
-
 class _Waits:
     """Times of takeovers, and the latest time that the owner was told."""
 
--- a/samphirebend/peers.py
+++ b/samphirebend/peers.py
@@ -99,7 +99,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.last_data_at = self._now()
-        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
         message = decode(string)
@@ -126,7 +126,7 @@
             return False
         if self._monitor.full:
             self._monitor.queued_bytes += len(data)
-        self.sendString(data)  # type: ignore[no-untyped-call]
+        self.sendString(data)
         return True
 
     def abort(self) -> None:
--- a/samphirebend/store.py
+++ b/samphirebend/store.py
@@ -122,13 +122,11 @@
         self._url = url
         self._timeout_s = timeout_s
         self._clock = reactor
-        self._pool = HTTPConnectionPool(reactor)  # type: ignore[no-untyped-call]
+        self._pool = HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
         # The store decides itself which calls are safe to send again.
         self._pool.retryAutomatically = False
-        agent: Any = Agent(  # type: ignore[no-untyped-call]
-            reactor, pool=self._pool, connectTimeout=timeout_s
-        )
+        agent: Any = Agent(reactor, pool=self._pool, connectTimeout=timeout_s)
         self._client = HTTPClient(agent)
 
     def call(self, operation: str, body: bytes) -> Awaitable[HttpAnswer]:
