Add health: polls of upstreams and of the platform's list

Cause: upstreamstate needs the upstreams' own reports and the list. Ruled out: treating a missing or odd load as zero, and a list without any known upstream as the absence of all; both would misroute at once. Change: poller on an injectable clock, one connection per upstream, 0.8 s time limit, answers bounded in size; links takes the field names that shards gives its link shares.

--- /dev/null
+++ b/samphirebend/health.py
@@ -0,0 +1,362 @@
+"""Polls the health of this host's upstreams and the platform's list.
+
+Feeds `upstreamstate`. Both sources lag and may mislead; a poll that fails or
+cannot be read is no news, never a load of zero or an absence. Times of sending
+are passed on, so that late answers cannot replace newer ones.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Final, Protocol
+
+import msgspec
+from loguru import logger
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol as TwistedProtocol, connectionDone
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+
+from .manifest import Upstream
+from .upstreamstate import Listed, Report, UpstreamStates
+
+POLL_INTERVAL_S: Final = 1.0
+# Shorter than the interval, so that polls of one upstream never overlap.
+POLL_TIMEOUT_S: Final = 0.8
+MAX_REPORT_BYTES: Final = 64 * 1024
+MAX_LIST_BYTES: Final = 16 * 1024 * 1024
+DRAINING: Final = "draining"
+# Checks that give the requests that an upstream runs.
+IN_USE_CHECKS: Final = ("slots:in-use", "requests:in-flight")
+
+Upstreams = Callable[[], Iterable[Upstream]]
+
+
+class _Health(msgspec.Struct):
+    """The part of application/health+json that is read."""
+
+    status: str
+    instance: str = ""
+    output: str = ""
+    checks: dict[str, Any] = {}
+
+
+def parse_report(body: bytes, state_header: str = "") -> Report | None:
+    """Return the report in a health answer, None if it is malformed.
+
+    `state_header` is the answer's Upstream-State header.
+
+    >>> parse_report(b'{"status": "pass", "checks": {}}').in_use is None
+    True
+    """
+    try:
+        health = msgspec.json.decode(body, type=_Health)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    in_use = None
+    for name in IN_USE_CHECKS:
+        if in_use is None:
+            in_use = _observed(health.checks.get(name))
+    return Report(
+        health.instance,
+        failing=health.status in ("fail", "error", "down"),
+        draining=DRAINING in (state_header, health.output),
+        in_use=in_use,
+    )
+
+
+def _observed(check: object) -> int | None:
+    """Return the observed value of a check; the format allows a list of them."""
+    entry = check[0] if isinstance(check, list) and check else check
+    value = entry.get("observedValue") if isinstance(entry, dict) else None
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return None
+    return int(value) if value >= 0 else None
+
+
+class _Conditions(msgspec.Struct):
+    """Conditions of an endpoint; the format allows each to be null."""
+
+    ready: bool | None = None
+    serving: bool | None = None
+    terminating: bool | None = None
+
+
+class _Target(msgspec.Struct):
+    """Reference to the object behind an endpoint."""
+
+    name: str | None = None
+
+
+class _Endpoint(msgspec.Struct, rename="camel"):
+    """One endpoint of a slice."""
+
+    addresses: list[str]
+    conditions: _Conditions = msgspec.field(default_factory=_Conditions)
+    hostname: str | None = None
+    target_ref: _Target | None = None
+
+
+class _Port(msgspec.Struct):
+    """A port that all endpoints of a slice listen on."""
+
+    port: int | None = None
+
+
+class _Slice(msgspec.Struct):
+    """An EndpointSlice."""
+
+    endpoints: list[_Endpoint] | None = None
+    ports: list[_Port] | None = None
+
+
+class _Metadata(msgspec.Struct):
+    """Metadata of a list; `continue` is set if it is not complete."""
+
+    more: str | None = msgspec.field(default=None, name="continue")
+
+
+class _SliceList(msgspec.Struct):
+    """An EndpointSliceList."""
+
+    items: list[_Slice]
+    metadata: _Metadata = msgspec.field(default_factory=_Metadata)
+
+
+class PlatformList:
+    """What one answer of the platform's list says."""
+
+    __slots__ = ("_states", "complete")
+
+    def __init__(self, complete: bool) -> None:
+        self.complete = complete  # what is not in it is absent
+        # By IP:PORT and by name; None: neither serving nor leaving.
+        self._states: dict[str, Listed | None] = {}
+
+    def add(self, key: str, listed: Listed | None) -> None:
+        """Add an entry; leaving wins where slices overlap during an update."""
+        if self._states.get(key) is not Listed.LEAVING:
+            self._states[key] = listed
+
+    def find(self, upstream: Upstream) -> Listed | None:
+        """Return what the list says of an upstream, None if nothing."""
+        for key in (str(upstream.address), upstream.name):
+            if key in self._states:
+                return self._states[key]
+        return Listed.ABSENT if self.complete else None
+
+
+def parse_list(body: bytes) -> PlatformList | None:
+    """Return the content of an EndpointSlice list, None if it is malformed."""
+    try:
+        parsed = msgspec.json.decode(body, type=_SliceList)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    found = PlatformList(complete=not parsed.metadata.more)
+    for item in parsed.items:
+        ports = [port.port for port in item.ports or [] if port.port is not None]
+        for endpoint in item.endpoints or []:
+            listed = _listed(endpoint.conditions)
+            names = [endpoint.hostname]
+            names.append(endpoint.target_ref.name if endpoint.target_ref else None)
+            for name in names:
+                if name:
+                    found.add(name, listed)
+            for ip in endpoint.addresses:
+                for port in ports:
+                    found.add(f"{ip}:{port}", listed)
+    return found
+
+
+def _listed(conditions: _Conditions) -> Listed | None:
+    if conditions.terminating:
+        return Listed.LEAVING
+    serving = conditions.serving
+    if serving is None:
+        serving = conditions.ready
+    # By the format, an unknown condition is to be read as true.
+    return None if serving is False else Listed.SERVING
+
+
+class FetchError(Exception):
+    """An answer was too large or incomplete."""
+
+
+class Fetched:
+    """Body and Upstream-State header of one answer."""
+
+    __slots__ = ("body", "state_header")
+
+    def __init__(self, body: bytes, state_header: str) -> None:
+        self.body = body
+        self.state_header = state_header
+
+
+class Fetcher(Protocol):
+    """Fetches a URL; raises or cancels on any failure."""
+
+    def __call__(self, url: str, max_bytes: int) -> Deferred[Fetched]: ...
+
+
+class _BodyReader(TwistedProtocol):
+    """Collects a body up to a size; endless answers must not fill the memory."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.done: Deferred[bytes] = Deferred(lambda _: self._abort())
+
+    def dataReceived(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > self._max_bytes:
+            self._abort()
+        else:
+            self._parts.append(data)
+
+    def _abort(self) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.done.called:
+            return
+        whole = isinstance(reason.value, ResponseDone)
+        if whole and self._size <= self._max_bytes:
+            self.done.callback(b"".join(self._parts))
+        else:
+            self.done.errback(FetchError("the answer is too large or incomplete"))
+
+
+def make_fetcher(reactor: Any) -> Fetcher:
+    """Return a fetcher that keeps one connection to each address."""
+    # Twisted's client classes carry no annotations.
+    make_pool: Any = HTTPConnectionPool
+    make_agent: Any = Agent
+    pool = make_pool(reactor)
+    pool.maxPersistentPerHost = 1
+    client = HTTPClient(make_agent(reactor, pool=pool, connectTimeout=POLL_TIMEOUT_S))
+
+    async def fetch(url: str, max_bytes: int) -> Fetched:
+        response = await client.get(url, unbuffered=True, allow_redirects=False)
+        reader = _BodyReader(max_bytes)
+        response.deliverBody(reader)
+        header = response.headers.getRawHeaders("Upstream-State", [""])[0]
+        return Fetched(await reader.done, header)
+
+    def start(url: str, max_bytes: int) -> Deferred[Fetched]:
+        return Deferred.fromCoroutine(fetch(url, max_bytes))
+
+    return start
+
+
+class HealthService:
+    """Polls upstreams and list at a fixed interval from start to stop."""
+
+    __slots__ = (
+        "_clock",
+        "_fetch",
+        "_list_failing",
+        "_list_url",
+        "_loop",
+        "_now",
+        "_owned",
+        "_pending",
+        "_states",
+        "_watched",
+    )
+
+    def __init__(
+        self,
+        states: UpstreamStates,
+        owned: Upstreams,
+        watched: Upstreams,
+        list_url: str,
+        clock: IReactorTime,
+        fetch: Fetcher,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._states = states
+        self._owned = owned  # polled: upstreams of the shards that are held
+        self._watched = watched  # looked up in the list: those of the region
+        self._list_url = list_url  # empty: none
+        self._clock = clock
+        self._fetch = fetch
+        self._now = now
+        self._pending: dict[str, Deferred[None]] = {}  # by URL
+        self._list_failing = False
+        self._loop = LoopingCall(self._tick)
+        self._loop.clock = clock
+
+    def start(self) -> None:
+        """Begin to poll at once."""
+        self._loop.start(POLL_INTERVAL_S, now=True)
+
+    def stop(self) -> None:
+        """End polling and cancel what is under way."""
+        if self._loop.running:
+            self._loop.stop()
+        for pending in list(self._pending.values()):
+            pending.cancel()
+
+    def _tick(self) -> None:
+        for upstream in self._owned():
+            url = f"http://{upstream.address}/health"
+            self._begin(url, MAX_REPORT_BYTES, self._take_report, upstream.name)
+        if self._list_url:
+            self._begin(self._list_url, MAX_LIST_BYTES, self._take_list, "")
+
+    def _begin(
+        self,
+        url: str,
+        max_bytes: int,
+        take: Callable[[str, Fetched | None, float], None],
+        name: str,
+    ) -> None:
+        if url in self._pending:
+            return
+        sent_at = self._now()
+
+        def finished(result: Fetched | Failure) -> None:
+            self._pending.pop(url, None)
+            take(name, None if isinstance(result, Failure) else result, sent_at)
+
+        def broken(failure: Failure) -> None:
+            logger.error("health answer not handled: {}", failure.getTraceback())
+
+        polled = self._fetch(url, max_bytes)
+        polled.addTimeout(POLL_TIMEOUT_S, self._clock)
+        # A deferred that has fired already runs its callbacks at once, before
+        # it could be removed from the pending ones.
+        pending: Deferred[None] = polled.addBoth(finished)
+        pending.addErrback(broken)
+        if not pending.called:
+            self._pending[url] = pending
+
+    def _take_report(self, name: str, fetched: Fetched | None, sent_at: float) -> None:
+        if fetched is None:
+            return
+        report = parse_report(fetched.body, fetched.state_header)
+        if report is not None:
+            self._states.note_report(name, report, sent_at, self._now())
+
+    def _take_list(self, name: str, fetched: Fetched | None, sent_at: float) -> None:
+        found = parse_list(fetched.body) if fetched else None
+        upstreams = list(self._watched())
+        states = [found.find(upstream) for upstream in upstreams] if found else []
+        # A list without any known upstream is a fault of the list: taken at
+        # its word it would end all work of the region at once.
+        usable = any(state is not Listed.ABSENT for state in states)
+        if usable == self._list_failing:
+            self._list_failing = not usable
+            logger.info("platform list is {}", "usable" if usable else "not usable")
+        if not usable:
+            return
+        for upstream, state in zip(upstreams, states, strict=True):
+            if state is not None:
+                self._states.note_listed(upstream.name, state, self._now())
--- a/samphirebend/links.py
+++ b/samphirebend/links.py
@@ -30,13 +30,13 @@
 
 
 class LinkShare(Protocol):
-    """Share of one shard in the link to another region, as `shards` gives it."""
+    """A shard's part of a link in bytes per second, as `shards` gives it."""
 
     @property
-    def send_bytes_per_s(self) -> float: ...
+    def sending(self) -> float: ...
 
     @property
-    def receive_bytes_per_s(self) -> float: ...
+    def receiving(self) -> float: ...
 
 
 # Manifest, region and other region to the share of each shard.
@@ -119,8 +119,8 @@
                 continue
             shares = self._shares(manifest, self._region, other)
             mine = [shares[name] for name in names if name in shares]
-            send = sum(share.send_bytes_per_s for share in mine)
-            receive = sum(share.receive_bytes_per_s for share in mine)
+            send = sum(share.sending for share in mine)
+            receive = sum(share.receiving for share in mine)
             self._bucket(self._send, other, now).set_share(send, now)
             self._bucket(self._receive, other, now).set_share(receive, now)
         for buckets in (self._send, self._receive):
--- /dev/null
+++ b/tests/unit/test_health.py
@@ -0,0 +1,191 @@
+"""Guards the poller against missing, malformed and late answers."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import Any
+
+import msgspec
+import pytest
+from twisted.internet import reactor as twisted_reactor
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from samphirebend.health import (
+    Fetched,
+    FetchError,
+    HealthService,
+    make_fetcher,
+    parse_list,
+    parse_report,
+)
+from samphirebend.manifest import Upstream
+from samphirebend.upstreamstate import LifeState, UpstreamStates
+
+from .test_upstreamstate import make_manifest
+
+# Twisted's classes are only partly annotated.
+reactor: Any = twisted_reactor
+Failure: Any = TwistedFailure
+make_site: Any = Site
+make_clock: Any = Clock
+LIST_URL = "http://127.0.0.1:1/list"
+
+
+class Harness:
+    """A poller whose answers the test gives by hand."""
+
+    def __init__(self) -> None:
+        manifest = make_manifest(2)
+        self.clock = make_clock()
+        self.states = UpstreamStates("r")
+        self.states.apply(manifest, 0.0)
+        self.asked: list[tuple[str, Deferred[Fetched]]] = []
+        self.upstreams = list(manifest.upstreams.values())
+        self.service = HealthService(
+            self.states,
+            lambda: self.upstreams[:1],
+            lambda: self.upstreams,
+            LIST_URL,
+            self.clock,
+            self.fetch,
+            self.clock.seconds,
+        )
+
+    def fetch(self, url: str, max_bytes: int) -> Deferred[Fetched]:
+        waiting: Deferred[Fetched] = Deferred()
+        self.asked.append((url, waiting))
+        return waiting
+
+    def answer(self, url_part: str, body: bytes) -> None:
+        found = [item for url, item in self.asked if url_part in url]
+        found[-1].callback(Fetched(body, ""))
+
+
+def make_list(upstreams: list[Upstream], **conditions: bool) -> bytes:
+    slices = [
+        {
+            "endpoints": [{"addresses": [u.address.ip], "conditions": conditions}],
+            "ports": [{"port": u.address.port}],
+        }
+        for u in upstreams
+    ]
+    return msgspec.json.encode({"kind": "EndpointSliceList", "items": slices})
+
+
+@pytest.mark.parametrize(
+    "value", [None, -1, True, "3", {}, [], [{}], [{"observedValue": None}]]
+)
+def test_odd_load_is_unknown(value: object) -> None:
+    # A load of zero would make an upstream without figures look idle.
+    body = {"status": "pass", "checks": {"slots:in-use": value}}
+    report = parse_report(msgspec.json.encode(body))
+    assert report is not None
+    assert report.in_use is None
+
+
+def test_report_is_read() -> None:
+    check = [{"observedValue": 2}]
+    body = {"status": "warn", "instance": "a", "checks": {"slots:in-use": check}}
+    report = parse_report(msgspec.json.encode(body), "draining")
+    assert report is not None
+    assert (report.in_use, report.instance, report.draining) == (2, "a", True)
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"status": 1}', b"\xff"])
+def test_malformed_answers_are_no_news(body: bytes) -> None:
+    assert parse_report(body) is None
+    assert parse_list(body) is None
+
+
+def test_failed_polls_do_not_change_the_load() -> None:
+    harness = Harness()
+    harness.service.start()
+    check = [{"observedValue": 3}]
+    body = {"status": "pass", "instance": "a", "checks": {"slots:in-use": check}}
+    harness.answer(":9000/health", msgspec.json.encode(body))
+    harness.clock.advance(1.0)
+    harness.asked[-2][1].errback(Failure(FetchError("gone")))
+    assert harness.states.reported_in_use("u0", harness.clock.seconds()) == 3
+    harness.service.stop()
+
+
+def test_silent_upstream_is_asked_again_and_does_not_pile_up() -> None:
+    # Polls without an answer must end before the next one is sent.
+    harness = Harness()
+    harness.service.start()
+    for _ in range(30):
+        harness.clock.advance(0.1)
+    polls = [url for url, _ in harness.asked if ":9000" in url]
+    assert len(polls) == 4
+    assert not any(":9001" in url for url, _ in harness.asked)
+    harness.service.stop()
+    assert all(item.called for _, item in harness.asked)
+
+
+def test_list_marks_leaving_and_absent() -> None:
+    harness = Harness()
+    harness.service.start()
+    harness.answer("list", make_list(harness.upstreams, serving=True))
+    harness.clock.advance(1.0)
+    harness.answer("list", make_list(harness.upstreams[:1], terminating=True))
+    assert harness.states.state("u0", 1.0) is LifeState.LEAVING
+    assert harness.states.state("u1", 1.0) is LifeState.GONE
+    harness.service.stop()
+
+
+@pytest.mark.parametrize("body", [b'{"items": []}', b"junk"])
+def test_empty_list_is_not_taken_at_its_word(body: bytes) -> None:
+    # A list service that lost its data would end all work of a region.
+    harness = Harness()
+    harness.service.start()
+    harness.answer("list", make_list(harness.upstreams, serving=True))
+    harness.clock.advance(1.0)
+    harness.answer("list", body)
+    assert harness.states.accepts("u0", 1.0)
+    harness.service.stop()
+
+
+def test_part_of_a_list_does_not_show_absence() -> None:
+    harness = Harness()
+    whole = msgspec.json.decode(make_list(harness.upstreams[:1], serving=True))
+    part = parse_list(msgspec.json.encode(whole | {"metadata": {"continue": "x"}}))
+    assert part is not None
+    assert part.find(harness.upstreams[1]) is None
+
+
+class Page(Resource):
+    """Answers with 1,000 bytes."""
+
+    isLeaf = True
+
+    def render_GET(self, request: object) -> bytes:
+        return b"x" * 1000
+
+
+@inlineCallbacks
+def fetch_twice() -> Generator[Deferred[Any], Any, tuple[int, BaseException | None]]:
+    page: Any = Page
+    port = reactor.listenTCP(0, make_site(page()), interface="127.0.0.1")
+    fetch = make_fetcher(reactor)
+    url = f"http://127.0.0.1:{port.getHost().port}/health"
+    error: BaseException | None = None
+    whole = yield fetch(url, 1000)
+    try:
+        yield fetch(url, 999)
+    except FetchError as exc:
+        error = exc
+    yield port.stopListening()
+    return len(whole.body), error
+
+
+def test_fetcher_reads_and_bounds_an_answer() -> Deferred[Any]:
+    # An endless health answer must not fill the daemon's memory.
+    def check(result: tuple[int, BaseException | None]) -> None:
+        assert result[0] == 1000
+        assert isinstance(result[1], FetchError)
+
+    return fetch_twice().addCallback(check)
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -16,8 +16,8 @@
 class Share:
     """Fixed share of one shard."""
 
-    send_bytes_per_s = SHARE
-    receive_bytes_per_s = SHARE / 5
+    sending = SHARE
+    receiving = SHARE / 5
 
 
 def shares(manifest: Manifest, region: str, other: str) -> Mapping[str, LinkShare]:
