Test the order of sources of a manifest version

Change: the property test mixes texts of peers and of the table; one test follows the order first peer, table, second peer.

--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -60,8 +60,8 @@
         reply.manifest_version = version
         self.peers.reply_listeners[0](reply, sent_at, self.clock.seconds())
 
-    def heartbeat(self, version: int) -> None:
-        heartbeat = Heartbeat("b", 1, 1)
+    def heartbeat(self, version: int, host: str = "b") -> None:
+        heartbeat = Heartbeat(host, 1, 1)
         heartbeat.manifest_version = version
         self.peers.heartbeat_listeners[0](heartbeat, self.clock.seconds())
 
@@ -113,21 +113,33 @@
     assert scene.store.gets == 2
 
 
-def test_table_is_read_when_a_peer_does_not_supply_the_version() -> None:
+def test_silent_peer_is_followed_by_the_table_and_other_peers() -> None:
+    """A peer that does not answer must not keep the version from this host."""
     scene = Scene()
-    sent: list[object] = []
+    asked: list[str] = []
 
     def send(host: str, message: ManifestRequest) -> bool:
-        sent.append((host, message.version))
+        asked.append(host)
         return True
 
     peers: Any = scene.peers
     peers.send = send
+    scene.heartbeat(2, "b")
+    scene.heartbeat(2, "c")
+    assert (asked, scene.store.gets) == (["b"], 0)
+    scene.clock.advance(1.0)
+    assert (asked, scene.store.gets) == (["b"], 1)
+    scene.heartbeat(2, "c")  # the wait after the failed fetch has not passed
+    scene.clock.advance(0.5)
+    scene.heartbeat(2, "c")
+    assert asked == ["b", "c"]
+    scene.clock.advance(1.0)
+    assert (asked, scene.store.gets) == (["b", "c", "b"], 2)
     scene.store.reads_answered = True
     scene.store.row = Row("manifest#0000000002", {"body": BODY})
-    scene.heartbeat(2)
-    assert sent == [("b", 2)]
-    assert scene.spread.version() == 0
+    scene.clock.advance(1.0)
+    scene.clock.advance(0.5)
+    scene.heartbeat(2, "b")
     scene.clock.advance(1.0)
     assert scene.spread.version() == 2
 
@@ -158,13 +170,17 @@
     assert fault.may_be_accepted
 
 
-@given(st.lists(st.integers(1, 9), max_size=20))
+@given(st.lists(st.tuples(st.integers(1, 9), st.booleans()), max_size=20))
 @settings(derandomize=True, deadline=None)
-def test_version_never_decreases(versions: list[int]) -> None:
+def test_version_never_decreases(texts: list[tuple[int, bool]]) -> None:
+    """Texts arrive in any order from peers (checked twice) and the table."""
     scene = Scene()
     applied: list[int] = []
     scene.spread.subscribe(lambda in_force: applied.append(in_force.version))
-    for version in versions:
-        scene.manifest(version)
+    for version, from_peer in texts:
+        if from_peer:
+            scene.manifest(version)
+        else:
+            scene.spread._take_body(version, BODY)
         assert scene.spread.version() == max(applied)
     assert applied == sorted(set(applied))
