Add the command-line tool

Cause: operators act by committing manifests and need to see their effect. Ruled out: treq under task.react, because the tool makes one call after the other, would load Twisted at each start, and task.react ends the process and can run once only, which keeps typer's test runner from testing it. The standard library's client reads better here. Change: check, settings-check, commit, show, history, where, status and dump, with a closed list of exit codes. A commit that got no answer is repeated at the next host with the same commit id, and counts as uncertain if none can tell; the id is printed before the first call.

--- /dev/null
+++ b/samphirebend/adminclient.py
@@ -0,0 +1,118 @@
+"""Synchronous calls from the command-line tool to the admin interface.
+
+The standard library's client is used: the tool makes one call after the other
+and ends, so an event loop would add start-up time and hide the order in which
+hosts are tried. It is no part of the daemon.
+"""
+
+from __future__ import annotations
+
+import http.client
+import time
+from enum import Enum
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from .addresses import Address
+
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+_CHUNK_BYTES: Final = 64 * 1024
+
+
+class CallFaultKind(Enum):
+    """How far a call came that got no usable answer."""
+
+    NOT_SENT = "not sent"  # no connection; the host has seen nothing
+    NO_ANSWER = "no answer"  # the host may have acted on the request
+
+
+class CallFault:
+    """Why a call got no usable answer."""
+
+    __slots__ = ("kind", "text")
+
+    def __init__(self, kind: CallFaultKind, text: str) -> None:
+        self.kind = kind
+        self.text = text
+
+
+class Answer:
+    """Status and JSON object of an answer."""
+
+    __slots__ = ("data", "status")
+
+    def __init__(self, status: int, data: dict[str, Any]) -> None:
+        self.status = status
+        self.data = data
+
+
+def call(
+    admin: Address, path: str, timeout_s: float, body: object = None
+) -> Result[Answer, CallFault]:
+    """Send one request, POST if there is a body; wait at most `timeout_s`."""
+    deadline = time.monotonic() + timeout_s
+    conn = http.client.HTTPConnection(admin.ip, admin.port, timeout=timeout_s)
+    try:
+        conn.connect()
+    except OSError as exc:
+        conn.close()
+        return Err(CallFault(CallFaultKind.NOT_SENT, _reason(exc)))
+    try:
+        if body is None:
+            conn.request("GET", path)
+        else:
+            headers = {"Content-Type": "application/json"}
+            conn.request("POST", path, msgspec.json.encode(body), headers)
+        _limit_wait(conn, deadline)
+        response = conn.getresponse()
+        raw = _read_body(conn, response, deadline)
+    except (OSError, http.client.HTTPException) as exc:
+        return Err(CallFault(CallFaultKind.NO_ANSWER, _reason(exc)))
+    finally:
+        conn.close()
+    try:
+        data = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, RecursionError):
+        data = None
+    if not isinstance(data, dict):
+        text = f"status {response.status}, not a JSON object"
+        return Err(CallFault(CallFaultKind.NO_ANSWER, text))
+    return Ok(Answer(response.status, data))
+
+
+def _limit_wait(conn: http.client.HTTPConnection, deadline: float) -> None:
+    left_s = deadline - time.monotonic()
+    if left_s <= 0:
+        raise TimeoutError("timed out")
+    # The connection has no socket once the whole answer was received.
+    if conn.sock is not None:
+        conn.sock.settimeout(left_s)
+
+
+def _read_body(
+    conn: http.client.HTTPConnection,
+    response: http.client.HTTPResponse,
+    deadline: float,
+) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        _limit_wait(conn, deadline)
+        part = response.read1(_CHUNK_BYTES)
+        if not part:
+            break
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise http.client.HTTPException("the answer is too long")
+        parts.append(part)
+    announced = response.getheader("Content-Length", "")
+    # read1 does not report a body that ends early.
+    if announced.isdecimal() and int(announced) != size:
+        raise http.client.IncompleteRead(b"")
+    return b"".join(parts)
+
+
+def _reason(exc: Exception) -> str:
+    return str(exc) or type(exc).__name__
--- /dev/null
+++ b/samphirebend/cli.py
@@ -0,0 +1,387 @@
+"""Command-line tool of operators.
+
+`check` and `settings-check` work on files alone; the other commands ask the
+admin interface of any host. Results go to standard output, errors to standard
+error, both as JSON with `--json`. `exitcodes` lists the exit codes.
+"""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Annotated, Any, Final, NoReturn
+from urllib.parse import quote
+
+import msgspec
+import typer
+from result import Err, Result
+
+from .addresses import Address, parse_address
+from .adminclient import Answer, CallFaultKind, call
+from .exitcodes import ExitCode
+from .jsonfile import Fault, shorten
+from .manifest import MAX_MANIFEST_BYTES, Host, read_manifest
+from .options import MAX_SETTINGS_BYTES, read_options
+
+DEFAULT_TIMEOUT_S: Final = 10.0
+MAX_PARALLEL_CALLS: Final = 16
+ADMIN_VARIABLE: Final = "SAMPHIREBEND_ADMIN"
+
+app = typer.Typer(
+    help="Commit manifests and look into samphirebend daemons.",
+    no_args_is_help=True,
+    # Rich tracebacks would show the values of variables.
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+
+FileArgument = Annotated[Path, typer.Argument(help="File to read, - for input.")]
+AdminOption = Annotated[
+    list[str],
+    typer.Option(
+        "--admin",
+        envvar=ADMIN_VARIABLE,
+        metavar="IP:PORT",
+        help="Admin address of a host; repeat it to name hosts to try in turn.",
+    ),
+]
+TimeoutOption = Annotated[
+    float,
+    typer.Option("--timeout", min=0.1, max=600, help="Longest call, in seconds."),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Write JSON.")]
+
+
+def _fail(code: ExitCode, text: str, as_json: bool, **fields: object) -> NoReturn:
+    """Write an error and end; `faults` are written one a line."""
+    if as_json:
+        error = {"error": text, "exit_code": int(code), **fields}
+        typer.echo(msgspec.json.encode(error).decode(), err=True)
+    else:
+        typer.echo(f"samphirebend: {_clean(text)}", err=True)
+        faults: Any = fields.get("faults", [])
+        for fault in faults:
+            path, expected, found = (
+                _clean(fault.get(name)) for name in ("path", "expected", "found")
+            )
+            typer.echo(f"  {path}: expected {expected}, found {found}", err=True)
+    raise typer.Exit(code)
+
+
+def _clean(value: object) -> str:
+    """Return a text without control characters, which terminals act on."""
+    text = str(value)
+    return text if text.isprintable() else shorten(text)
+
+
+def _write_json(value: object) -> None:
+    typer.echo(msgspec.json.encode(value).decode())
+
+
+def _write_table(rows: Sequence[dict[str, Any]]) -> None:
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [columns] + [[_cell(row.get(name)) for name in columns] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    for line in cells:
+        padded = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        typer.echo("  ".join(padded).rstrip())
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, dict | list):
+        return _clean(msgspec.json.encode(value).decode())
+    return _clean(value)
+
+
+def _fault_fields(faults: Sequence[Fault]) -> list[dict[str, str]]:
+    return [
+        {"path": fault.path, "expected": fault.expected, "found": fault.found}
+        for fault in faults
+    ]
+
+
+def _read_file(path: Path, max_bytes: int, as_json: bool) -> str:
+    """Return a file's text; one byte above the limit is enough to refuse it."""
+    try:
+        if str(path) == "-":
+            raw = sys.stdin.buffer.read(max_bytes + 1)
+        else:
+            with path.open("rb") as file:
+                raw = file.read(max_bytes + 1)
+        if len(raw) > max_bytes:
+            _fail(ExitCode.INVALID, f"the file exceeds {max_bytes} bytes", as_json)
+        return raw.decode()
+    except UnicodeDecodeError as exc:
+        _fail(ExitCode.INVALID, f"the file is not UTF-8: {exc.reason}", as_json)
+    except OSError as exc:
+        _fail(ExitCode.INVALID, f"cannot read the file: {exc.strerror}", as_json)
+
+
+def _checked(
+    read: Callable[[str], Result[Any, list[Fault]]], text: str, as_json: bool
+) -> Any:
+    checked = read(text)
+    if isinstance(checked, Err):
+        faults = _fault_fields(checked.err_value)
+        _fail(ExitCode.INVALID, "the file has faults", as_json, faults=faults)
+    return checked.ok_value
+
+
+def _addresses(texts: list[str]) -> list[Address]:
+    addresses = []
+    for text in texts:
+        address = parse_address(text)
+        if address is None:
+            raise typer.BadParameter(f"{text} is not IP:PORT", param_hint="--admin")
+        addresses.append(address)
+    return addresses
+
+
+def _ask(admins: list[Address], path: str, timeout_s: float, as_json: bool) -> Any:
+    """Return the first good answer; the next host is tried on any other."""
+    refusal: Answer | None = None
+    tried: list[str] = []
+    for admin in admins:
+        answered = call(admin, path, timeout_s)
+        if isinstance(answered, Err):
+            tried.append(f"{admin}: {answered.err_value.text}")
+            continue
+        answer = answered.ok_value
+        if answer.status == 200:
+            return answer.data
+        refusal = answer
+        tried.append(f"{admin}: {answer.data.get('error')}")
+        if answer.status != 503:
+            break
+    text = "; ".join(tried)
+    if refusal is None:
+        _fail(ExitCode.UNREACHABLE, text, as_json)
+    codes = {404: ExitCode.NOT_FOUND, 503: ExitCode.UNAVAILABLE}
+    _fail(codes.get(refusal.status, ExitCode.FAILURE), text, as_json)
+
+
+@app.command()
+def check(file: FileArgument, as_json: JsonOption = False) -> None:
+    """Check a manifest without any host."""
+    text = _read_file(file, MAX_MANIFEST_BYTES, as_json)
+    manifest = _checked(read_manifest, text, as_json)
+    counts = {
+        "regions": len(manifest.regions),
+        "hosts": len(manifest.hosts),
+        "services": len(manifest.services),
+        "upstreams": len(manifest.upstreams),
+    }
+    if as_json:
+        _write_json({"valid": True, **counts})
+    else:
+        parts = ", ".join(f"{count} {name}" for name, count in counts.items())
+        typer.echo(f"valid: {parts}")
+
+
+@app.command("settings-check")
+def settings_check(file: FileArgument, as_json: JsonOption = False) -> None:
+    """Check a daemon's settings file without any host."""
+    text = _read_file(file, MAX_SETTINGS_BYTES, as_json)
+    cfg = _checked(read_options, text, as_json)
+    if as_json:
+        _write_json({"valid": True, "host": cfg.host})
+    else:
+        typer.echo(f"valid: settings of host {_clean(cfg.host)}")
+
+
+@app.command()
+def commit(
+    file: FileArgument,
+    admin: AdminOption,
+    base: Annotated[int, typer.Option(min=0, help="Version that it replaces.")],
+    commit_id: Annotated[
+        str, typer.Option(help="Id of an earlier attempt, to repeat it safely.")
+    ] = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Check a manifest and commit it, if `--base` is still the newest version.
+
+    The commit id makes repeats safe: a host that is asked again for an accepted
+    commit answers its version.
+    """
+    admins = _addresses(admin)
+    text = _read_file(file, MAX_MANIFEST_BYTES, as_json)
+    _checked(read_manifest, text, as_json)
+    commit_id = commit_id or secrets.token_hex(8)
+    body = {"text": text, "base_version": base, "commit_id": commit_id}
+    if not as_json:
+        # Told before the call, so that an interrupted commit can be repeated.
+        typer.echo(f"commit id {_clean(commit_id)}", err=True)
+    version = _commit(admins, body, timeout_s, as_json)
+    if as_json:
+        _write_json({"version": version, "commit_id": commit_id})
+    else:
+        typer.echo(f"accepted as version {version}")
+
+
+def _commit(
+    admins: list[Address], body: dict[str, Any], timeout_s: float, as_json: bool
+) -> object:
+    """Return the accepted version, trying each host until one knows the result."""
+    uncertain = reached = False
+    tried: list[str] = []
+    for admin in admins:
+        answered = call(admin, "/v1/manifest", timeout_s, body)
+        if isinstance(answered, Err):
+            fault = answered.err_value
+            if fault.kind is CallFaultKind.NO_ANSWER:
+                uncertain = reached = True
+            tried.append(f"{admin}: {fault.text}")
+            continue
+        answer = answered.ok_value
+        reached = True
+        if answer.status == 200:
+            return answer.data.get("version")
+        if answer.status in (400, 409, 413):
+            _refuse_commit(answer, body, as_json)
+        # A host that cannot tell, or that failed, leaves the result open.
+        uncertain |= answer.data.get("may_have_been_accepted") is not False
+        tried.append(f"{admin}: {answer.data.get('error')}")
+    text = "; ".join(tried)
+    fields = {"commit_id": body["commit_id"]}
+    if uncertain:
+        text = f"the commit may have been accepted: {text}"
+        _fail(ExitCode.UNCERTAIN, text, as_json, **fields)
+    code = ExitCode.UNAVAILABLE if reached else ExitCode.UNREACHABLE
+    _fail(code, f"not accepted: {text}", as_json, **fields)
+
+
+def _refuse_commit(answer: Answer, body: dict[str, Any], as_json: bool) -> NoReturn:
+    text = str(answer.data.get("error"))
+    if answer.status == 409:
+        current = answer.data.get("current_version")
+        text = f"{text}: base {body['base_version']}, current version {current}"
+        fields = {"base_version": body["base_version"], "current_version": current}
+        _fail(ExitCode.CONFLICT, text, as_json, **fields)
+    faults = answer.data.get("faults", [])
+    _fail(ExitCode.INVALID, text, as_json, faults=faults)
+
+
+@app.command()
+def show(
+    admin: AdminOption,
+    version: Annotated[
+        int | None, typer.Option(min=1, help="An earlier version.")
+    ] = None,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Write the manifest in force, or an earlier version, as it was committed."""
+    query = "" if version is None else f"?version={version}"
+    answer = _ask(_addresses(admin), f"/v1/manifest{query}", timeout_s, as_json)
+    if as_json:
+        _write_json(answer)
+    else:
+        typer.echo(f"version {answer.get('version')}", err=True)
+        typer.echo(answer.get("text"), nl=False)
+
+
+@app.command()
+def history(
+    admin: AdminOption,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """List the newest accepted versions."""
+    answer = _ask(_addresses(admin), "/v1/manifest/history", timeout_s, as_json)
+    if as_json:
+        _write_json(answer)
+    else:
+        _write_table(answer.get("history", []))
+
+
+@app.command()
+def where(
+    admin: AdminOption,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """List the version in force on every host of the manifest."""
+    answer = _ask(_addresses(admin), "/v1/manifest", timeout_s, as_json)
+    checked = read_manifest(str(answer.get("text")))
+    if isinstance(checked, Err):
+        _fail(ExitCode.FAILURE, "the manifest in force is not understood", as_json)
+    hosts = sorted(checked.ok_value.hosts.values(), key=lambda host: host.name)
+    with ThreadPoolExecutor(MAX_PARALLEL_CALLS) as pool:
+        rows = list(pool.map(lambda host: _version_at(host, timeout_s), hosts))
+    everywhere = len({row["version"] for row in rows}) == 1 and all(
+        row["version"] is not None for row in rows
+    )
+    if as_json:
+        _write_json({"everywhere": everywhere, "hosts": rows})
+    else:
+        _write_table(rows)
+    if not everywhere:
+        raise typer.Exit(ExitCode.NOT_EVERYWHERE)
+
+
+def _version_at(host: Host, timeout_s: float) -> dict[str, Any]:
+    row: dict[str, Any] = {"host": host.name, "region": host.region}
+    row["admin"] = str(host.admin)
+    answered = call(host.admin, "/healthz", timeout_s)
+    if isinstance(answered, Err):
+        return {**row, "version": None, "state": answered.err_value.text}
+    data = answered.ok_value.data
+    return {
+        **row,
+        "version": data.get("manifest_version"),
+        "state": data.get("status"),
+    }
+
+
+@app.command()
+def status(
+    admin: AdminOption,
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Show hosts, upstreams, limits and links as one host sees them."""
+    answer = _ask(_addresses(admin), "/v1/status", timeout_s, as_json)
+    if as_json:
+        _write_json(answer)
+        return
+    for name, part in answer.items():
+        if isinstance(part, list) and all(isinstance(row, dict) for row in part):
+            typer.echo(f"{_clean(name)}: {len(part)}")
+            if part:
+                _write_table(part)
+            typer.echo()
+        else:
+            typer.echo(f"{_clean(name)}: {_cell(part)}")
+
+
+@app.command()
+def dump(
+    admin: AdminOption,
+    service: Annotated[str, typer.Option(help="Only this service.")] = "",
+    timeout_s: TimeoutOption = DEFAULT_TIMEOUT_S,
+    as_json: JsonOption = False,
+) -> None:
+    """Write the state of one host's services; always JSON."""
+    query = f"?service={quote(service, safe='')}" if service else ""
+    answer = _ask(_addresses(admin), f"/v1/dump{query}", timeout_s, as_json)
+    if as_json:
+        _write_json(answer)
+    else:
+        raw = msgspec.json.encode(answer)
+        typer.echo(msgspec.json.format(raw, indent=2).decode())
+
+
+def main() -> None:
+    """Run the tool."""
+    app(prog_name="samphirebend")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -13,10 +13,12 @@
 import treq
 from result import Err, Ok, Result
 from twisted.internet import reactor
+from twisted.internet.threads import deferToThread
 
 from samphirebend import admin
 from samphirebend.addresses import Address
 from samphirebend.admin import AdminApp, AdminService
+from samphirebend.adminclient import call
 from samphirebend.jsonfile import Fault
 from samphirebend.kernel import Kernel
 from samphirebend.metrics import Metrics
@@ -235,3 +237,17 @@
     client.spread.answer = Ok(object())  # type: ignore[arg-type]
     body = {"text": "{}", "base_version": 7, "commit_id": "c8"}
     assert await client.call("/v1/manifest", body) == (500, {"error": "internal error"})
+
+
+@async_test
+async def test_client_of_the_command_line_tool(client: Client) -> None:
+    # Guards against a tool and an interface that were only tested with fakes of
+    # each other.
+    admin_address = Address("127.0.0.1", int(client.base.rpartition(":")[2]))
+    body = {"text": "{\n}" * 50_000, "base_version": 7, "commit_id": "c8"}
+    answered = await deferToThread(call, admin_address, "/v1/manifest", 5.0, body)
+    assert isinstance(answered, Ok), answered.err_value.text
+    assert (answered.ok_value.status, answered.ok_value.data) == (200, {"version": 8})
+    answered = await deferToThread(call, admin_address, "/v1/manifest", 5.0)
+    assert isinstance(answered, Ok)
+    assert answered.ok_value.data == {"version": 7, "text": "seven"}
