Serve requests from end to end

Cause: the parts existed, but no process joined them. Table calls are counted by outcome only, as the store counts them, so the metric has lost its operation label.

--- /dev/null
+++ b/samphirebend/drain.py
@@ -0,0 +1,153 @@
+"""Planned stop of a daemon, step by step, so that no request is cut.
+
+Callers cache look-ups, so the host leaves the look-ups first and serves on
+for their time to live. Only then does it stop to accept connections, finish
+what is in flight and give its leases back.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final, Protocol
+
+from automat import TypeMachineBuilder
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from .entry import Entry
+from .httpserver import HttpServer
+from .leasekeeper import LeaseKeeper
+from .metrics import Metrics
+from .peers import PeerService
+from .router import Router
+
+# Added to the time to live, for look-ups that peers answered from figures
+# of the last heartbeat.
+LOOKUP_MARGIN_S: Final = 1.0
+NOTIFY_TIMEOUT_S: Final = 0.5
+# Bounds the wait for requests in flight beyond the longest service timeout.
+IN_FLIGHT_MARGIN_S: Final = 2.0
+
+
+class DrainLife(Protocol):
+    """Inputs of the drain's state machine."""
+
+    def leave(self) -> None:
+        """Begin to leave the look-ups; a second call has no effect."""
+
+    def refuse(self) -> None:
+        """Begin to refuse new work."""
+
+    def end(self) -> None:
+        """Note that nothing is in flight and no lease is held."""
+
+    def name(self) -> str:
+        """Return the name of the state."""
+
+
+class _Core:
+    """The machine needs no data besides its state."""
+
+    __slots__ = ()
+
+
+_builder: Final = TypeMachineBuilder(DrainLife, _Core)
+_serving: Final = _builder.state("serving")
+_leaving: Final = _builder.state("leaving")
+_finishing: Final = _builder.state("finishing")
+_stopped: Final = _builder.state("stopped")
+_serving.upon(DrainLife.leave).to(_leaving).returns(None)
+_leaving.upon(DrainLife.refuse).to(_finishing).returns(None)
+_finishing.upon(DrainLife.end).to(_stopped).returns(None)
+for _state in (_leaving, _finishing, _stopped):
+    _state.upon(DrainLife.leave).loop().returns(None)
+for _state, _name in (
+    (_serving, "serving"),
+    (_leaving, "leaving"),
+    (_finishing, "finishing"),
+    (_stopped, "stopped"),
+):
+    _state.upon(DrainLife.name).loop().returns(_name)
+_machine: Final = _builder.build()
+
+
+class Drain:
+    """Runs the planned stop of one daemon."""
+
+    __slots__ = (
+        "_entry",
+        "_keeper",
+        "_life",
+        "_lookup_ttl_s",
+        "_metrics",
+        "_peers",
+        "_reactor",
+        "_router",
+        "_servers",
+    )
+
+    def __init__(
+        self,
+        reactor: Any,
+        lookup_ttl_s: float,
+        entry: Entry,
+        router: Router,
+        keeper: LeaseKeeper,
+        peers: PeerService,
+        servers: list[HttpServer],
+        metrics: Metrics,
+    ) -> None:
+        self._reactor = reactor
+        self._lookup_ttl_s = lookup_ttl_s
+        self._entry = entry
+        self._router = router
+        self._keeper = keeper
+        self._peers = peers
+        self._servers = servers  # for callers and for relays
+        self._metrics = metrics
+        self._life: DrainLife = _machine(_Core())
+
+    @property
+    def state(self) -> str:
+        """Return the name of the state."""
+        return self._life.name()
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the planned stop has begun."""
+        return self._life.name() != "serving"
+
+    async def run(self) -> None:
+        """Leave, finish and release; return when the process may exit."""
+        if self.stopping:
+            return
+        started = self._reactor.seconds()
+        self._life.leave()
+        logger.info("planned stop begins")
+        self._router.stopping = True
+        # Answers close their connections from now on, so that few idle
+        # connections are left to be closed under a caller's hands.
+        for server in self._servers:
+            server.draining = True
+        await self._peers.notify_now(NOTIFY_TIMEOUT_S)
+        await deferLater(self._reactor, self._lookup_ttl_s + LOOKUP_MARGIN_S)
+        self._life.refuse()
+        for server in self._servers:
+            await server.close_port()
+        await self._wait_for_requests()
+        self._entry.refusing = True
+        await self._keeper.release_all()
+        self._life.end()
+        duration_s = self._reactor.seconds() - started
+        self._metrics.observe_drain("host", duration_s)
+        logger.info("planned stop ends", duration_s=round(duration_s, 3))
+
+    async def _wait_for_requests(self) -> None:
+        if not self._entry.in_flight:
+            return
+        idle: Deferred[None] = Deferred()
+        self._entry.when_idle = idle
+        longest_s = self._entry.longest_timeout_s() + IN_FLIGHT_MARGIN_S
+        idle.addTimeout(longest_s, self._reactor)
+        idle.addErrback(lambda _: logger.warning("requests were still in flight"))
+        await idle
--- /dev/null
+++ b/samphirebend/entry.py
@@ -0,0 +1,387 @@
+"""The request path's front: from a caller's request to its answer.
+
+Checks the request, decides by its idempotency key which process executes it,
+hands the job to `dispatch` or `relay`, and turns the result into an answer
+that states the outcome. A key is entered in the ledger before anything else
+can refuse the request, so that a refused key is void for good.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from typing import Any, Final
+
+from loguru import logger
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from .dispatch import Dispatcher
+from .errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
+from .exchange import Received, StreamedAnswer
+from .httpserver import ServerRequest
+from .job import Job, answer_headers, failure_headers
+from .ledger import KeptAnswer, Ledger, LedgerEntry, RequestKey, parse_key
+from .lookup import Lookup
+from .manifest import Host, Manifest
+from .membership import Membership
+from .metrics import Metrics
+from .quarantine import fingerprint
+from .relay import RelayClient, RelayMode
+
+LOOKUP_PATH: Final = "/v1/lookup"
+SERVICES_PATH: Final = "/v1/services/"
+# Bodies up to this size are held, so that they can be sent again.
+HELD_BODY_BYTES: Final = 256 * 1024
+# Bodies of keyed requests are always held: their digest is part of the
+# fingerprint that ties a key to one request.
+KEYED_BODY_BYTES: Final = 1024 * 1024
+FRESH_WAIT_S: Final = 0.25
+FRESH_CHECK_S: Final = 0.02
+MAX_REQUEST_ID_LENGTH: Final = 128
+
+
+class Entry:
+    """Handles requests of callers and of other hosts' relays."""
+
+    __slots__ = (
+        "_dispatcher",
+        "_host",
+        "_is_fresh",
+        "_ledger",
+        "_lookup",
+        "_manifest",
+        "_membership",
+        "_metrics",
+        "_reactor",
+        "_relay",
+        "in_flight",
+        "refusing",
+        "when_idle",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        reactor: Any,
+        dispatcher: Dispatcher,
+        relay: RelayClient,
+        ledger: Ledger,
+        lookup: Lookup,
+        membership: Membership,
+        metrics: Metrics,
+        is_fresh: Callable[[float], bool],
+    ) -> None:
+        self._host = host
+        self._reactor = reactor
+        self._dispatcher = dispatcher
+        self._relay = relay
+        self._ledger = ledger
+        self._lookup = lookup
+        self._membership = membership
+        self._metrics = metrics
+        self._is_fresh = is_fresh
+        self._manifest: Manifest | None = None
+        self.in_flight = 0
+        self.refusing = False  # the host is about to exit
+        self.when_idle: Deferred[None] | None = None  # fires at no job in flight
+
+    def apply(self, manifest: Manifest) -> None:
+        """Follow the manifest in force."""
+        self._manifest = manifest
+        self._lookup.apply(manifest)
+
+    def longest_timeout_s(self) -> float:
+        """Return the longest time that a request may take."""
+        if self._manifest is None:
+            return 0.0
+        return max(item.timeout_s for item in self._manifest.services.values())
+
+    def handle(self, req: ServerRequest) -> None:
+        """Handle a caller's request."""
+        if req.target.startswith(LOOKUP_PATH):
+            self._lookup.answer(req)
+        else:
+            self._begin(req, None)
+
+    def handle_relayed(self, req: ServerRequest) -> None:
+        """Handle a request that another host passes on."""
+        try:
+            mode = RelayMode(req.text(b"relay-mode") or "")
+        except ValueError:
+            self._refuse(req, ErrorKind.BAD_REQUEST, Outcome.DID_NOT_RUN, "")
+            return
+        self._begin(req, mode)
+
+    def _begin(self, req: ServerRequest, mode: RelayMode | None) -> None:
+        self.in_flight += 1
+        done = Deferred.fromCoroutine(self._serve(req, mode))
+        done.addErrback(self._note_bug, req)
+        done.addBoth(self._end)
+
+    def _end(self, _result: object) -> None:
+        self.in_flight -= 1
+        if self.in_flight == 0 and self.when_idle is not None:
+            waiter, self.when_idle = self.when_idle, None
+            waiter.callback(None)
+
+    def _note_bug(self, failure: Any, req: ServerRequest) -> None:
+        logger.opt(exception=failure.value).error("request failed unexpectedly")
+        if req.answered:
+            req.abort()
+        else:
+            self._refuse(req, ErrorKind.INTERNAL_ERROR, Outcome.UNKNOWN, "")
+
+    # From the request to a job.
+
+    async def _serve(self, req: ServerRequest, mode: RelayMode | None) -> None:
+        started = self._reactor.seconds()
+        request_id = _request_id(req)
+        key_text = req.text(b"idempotency-key")
+        made = self._make_job(req, request_id, started)
+        if isinstance(made, ErrorKind):
+            # Another host may know the service already, and the key may be
+            # executed there.
+            outcome = outcome_after(made, key_text is not None)
+            self._refuse(req, made, outcome, request_id)
+            return
+        job = made
+        job.relay_allowed = mode is None or mode is RelayMode.EXECUTE
+        keyed = not job.service.idempotent
+        if key_text is not None and keyed:
+            job.key = key_text
+        kind = await self._take_body(job, keyed)
+        if kind is not None:
+            self._refuse(req, kind, outcome_after(kind, False), request_id)
+            return
+        job.fingerprint = fingerprint(
+            job.service.name, job.method, job.target, job.body_digest()
+        )
+        if keyed and mode is not RelayMode.DISPATCH:
+            await self._serve_keyed(job, mode)
+        else:
+            await self._serve_plain(job)
+        elapsed_s = self._reactor.seconds() - started
+        self._metrics.count_request(job.service.name, job.life.outcome(), elapsed_s)
+
+    def _make_job(
+        self, req: ServerRequest, request_id: str, now: float
+    ) -> Job | ErrorKind:
+        if self._manifest is None:
+            return ErrorKind.NO_MANIFEST
+        if not req.target.startswith(SERVICES_PATH):
+            return ErrorKind.BAD_REQUEST
+        rest = req.target[len(SERVICES_PATH) :]
+        name = rest.split("/", 1)[0].split("?", 1)[0]
+        service = self._manifest.services.get(name)
+        if service is None:
+            return ErrorKind.UNKNOWN_SERVICE
+        timeout_s = _timeout_s(req, service.timeout_s)
+        if timeout_s is None:
+            return ErrorKind.BAD_REQUEST
+        target = rest[len(name) :]
+        if not target.startswith("/"):
+            target = "/" + target
+        return Job(req, service, target, request_id, now + timeout_s)
+
+    async def _take_body(self, job: Job, keyed: bool) -> ErrorKind | None:
+        """Hold a body that may have to be sent again; leave others to stream."""
+        req, limit = job.req, job.service.max_body_bytes
+        if req.content_length is not None and req.content_length > limit:
+            return ErrorKind.BODY_TOO_LARGE
+        if not req.has_body:
+            job.body = b""
+            return None
+        is_small = req.content_length is not None and (
+            req.content_length <= HELD_BODY_BYTES
+        )
+        if not keyed and not is_small:
+            return None
+        taken = await req.read_all(min(limit, KEYED_BODY_BYTES))
+        if isinstance(taken, ErrorKind):
+            return taken
+        job.body = taken
+        return None
+
+    # Requests without a key.
+
+    async def _serve_plain(self, job: Job) -> None:
+        refusal = await self._transient_refusal()
+        if refusal is not None:
+            self._answer_failure(job, refusal, None)
+            return
+        received = await self._dispatcher.run(job)
+        if isinstance(received, Err):
+            self._answer_failure(job, received.err_value, None)
+        else:
+            self._answer(job, received.ok_value)
+
+    async def _transient_refusal(self) -> ErrorKind | None:
+        """Return why the host takes no work at the moment, if so.
+
+        A host that just heard of a newer manifest is given the time to fetch
+        it, so that a commit refuses no request.
+        """
+        if self.refusing:
+            return ErrorKind.HOST_STOPPING
+        give_up_at = self._reactor.seconds() + FRESH_WAIT_S
+        while not self._is_fresh(self._reactor.seconds()):
+            if self._reactor.seconds() >= give_up_at:
+                return ErrorKind.HOST_ISOLATED
+            await deferLater(self._reactor, FRESH_CHECK_S)
+        return None
+
+    # Requests with a key.
+
+    async def _serve_keyed(self, job: Job, mode: RelayMode | None) -> None:
+        if job.key is None:
+            self._answer_failure(job, ErrorKind.KEY_REQUIRED, None)
+            return
+        key = parse_key(job.key)
+        if key is None:
+            self._answer_failure(job, ErrorKind.KEY_MALFORMED, None)
+        elif self._ledger.owns(key):
+            await self._execute(job, key)
+        elif mode is RelayMode.EXECUTE:
+            self._answer_failure(job, ErrorKind.EXECUTOR_GONE, None)
+        else:
+            await self._relay_to_executor(job, key)
+
+    async def _execute(self, job: Job, key: RequestKey) -> None:
+        begun = self._ledger.begin(key, job.fingerprint, self._reactor.seconds())
+        if isinstance(begun, Err):
+            self._answer_failure(job, begun.err_value, None)
+            return
+        entry = begun.ok_value.entry
+        if not begun.ok_value.is_new:
+            await self._repeat(job, entry)
+            return
+        received: Received
+        try:
+            refusal = await self._transient_refusal()
+            if refusal is None:
+                received = await self._dispatcher.run(job)
+            else:
+                received = Err(refusal)
+        except BaseException:
+            self._ledger.finish(entry, Outcome.UNKNOWN, ErrorKind.INTERNAL_ERROR, None)
+            raise
+        self._finish(job, entry, received)
+
+    def _finish(self, job: Job, entry: LedgerEntry, received: Received) -> None:
+        if isinstance(received, Ok):
+            answer = received.ok_value
+            kept = answer if isinstance(answer, KeptAnswer) else None
+            self._ledger.finish(entry, Outcome.DONE, None, kept)
+            self._answer(job, answer)
+            return
+        kind: ErrorKind = received.err_value
+        self._ledger.finish(entry, job.life.outcome(), kind, None)
+        self._answer_failure(job, kind, job.life.outcome())
+
+    async def _repeat(self, job: Job, entry: LedgerEntry) -> None:
+        """Answer a repeat with the outcome of the first request of its key."""
+        if entry.outcome is None:
+            waiter: Deferred[None] = Deferred()
+            entry.waiters.append(waiter)
+            wait_s = max(0.0, job.deadline - self._reactor.seconds())
+            timer = self._reactor.callLater(wait_s, _fire_once, waiter)
+            await waiter
+            if timer.active():
+                timer.cancel()
+        if entry.outcome is Outcome.DONE:
+            if entry.answer is None:
+                self._answer_failure(job, ErrorKind.ANSWER_NOT_KEPT, Outcome.DONE)
+            else:
+                self._answer(job, entry.answer)
+        elif entry.outcome is Outcome.DID_NOT_RUN:
+            self._answer_failure(job, ErrorKind.KEY_VOID, Outcome.DID_NOT_RUN)
+        else:
+            kind = entry.kind or ErrorKind.UPSTREAM_TIMEOUT
+            self._answer_failure(job, kind, Outcome.UNKNOWN)
+
+    async def _relay_to_executor(self, job: Job, key: RequestKey) -> None:
+        """Pass the request to the process that its key names."""
+        host = self._find_executor(key)
+        if host is None:
+            self._answer_failure(job, ErrorKind.EXECUTOR_GONE, Outcome.UNKNOWN)
+            return
+        sent = await self._relay.send(job, host, RelayMode.EXECUTE)
+        if isinstance(sent, Err):
+            kind: ErrorKind = sent.err_value
+            known = ANSWERS[kind].outcome is Outcome.UNKNOWN
+            kind = kind if known else ErrorKind.EXECUTOR_GONE
+            self._answer_failure(job, kind, Outcome.UNKNOWN)
+            return
+        relayed = sent.ok_value
+        if relayed.kind is None:
+            self._answer(job, relayed.answer)
+        else:
+            self._answer_failure(job, relayed.kind, relayed.outcome)
+
+    def _find_executor(self, key: RequestKey) -> Host | None:
+        peer = self._membership.peer(key.host)
+        if self._manifest is None or peer is None:
+            return None
+        if peer.incarnation != key.incarnation:
+            return None
+        return self._manifest.hosts.get(key.host)
+
+    # Answers.
+
+    def _answer(self, job: Job, answer: KeptAnswer | StreamedAnswer) -> None:
+        if isinstance(answer, StreamedAnswer):
+            return
+        headers = answer_headers(answer.headers, job.request_id, self._host)
+        job.req.respond(answer.status, headers, answer.body)
+
+    def _answer_failure(
+        self, job: Job, kind: ErrorKind, outcome: Outcome | None
+    ) -> None:
+        """Answer with a failure; without an outcome the job's life decides."""
+        if job.req.answered:
+            return  # a streamed answer was broken off
+        if outcome is None:
+            may_have_run = job.life.outcome() is not Outcome.DID_NOT_RUN
+            outcome = outcome_after(kind, may_have_run)
+        self._metrics.count_refusal(kind)
+        needs_key = outcome is Outcome.DID_NOT_RUN and not job.service.idempotent
+        self._refuse(job.req, kind, outcome, job.request_id, needs_key)
+
+    def _refuse(
+        self,
+        req: ServerRequest,
+        kind: ErrorKind,
+        outcome: Outcome,
+        request_id: str,
+        needs_key: bool = False,
+    ) -> None:
+        headers = failure_headers(kind, outcome, request_id, self._host)
+        if needs_key:
+            new_key = self._ledger.issue(self._reactor.seconds())
+            headers.append((b"Next-Idempotency-Key", new_key.encode()))
+        answer = ANSWERS[kind]
+        req.respond(answer.status, headers, answer.text.encode())
+
+
+def _request_id(req: ServerRequest) -> str:
+    given = req.text(b"request-id")
+    if given and len(given) <= MAX_REQUEST_ID_LENGTH and given.isascii():
+        return given
+    return secrets.token_hex(8)
+
+
+def _timeout_s(req: ServerRequest, longest_s: float) -> float | None:
+    """Return the time for the request in seconds, None if the header is wrong."""
+    given = req.text(b"request-timeout-ms")
+    if given is None:
+        return longest_s
+    if not given.isdecimal() or len(given) > 9 or int(given) == 0:
+        return None
+    return min(longest_s, int(given) / 1000)
+
+
+def _fire_once(waiter: Deferred[None]) -> None:
+    if not waiter.called:
+        waiter.callback(None)
--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -65,9 +65,9 @@
     """The part of `PeerService` that is used here."""
 
     heartbeat_fillers: list[Callable[[Heartbeat], None]]
-    heartbeat_listeners: list[Callable[[Heartbeat, float], None]]
+    heartbeat_listeners: list[Callable[[Heartbeat, float], object]]
     reply_fillers: list[Callable[[Heartbeat, HeartbeatReply, float], None]]
-    reply_listeners: list[Callable[[HeartbeatReply, float, float], None]]
+    reply_listeners: list[Callable[[HeartbeatReply, float, float], object]]
 
     def send(self, host: str, message: Any) -> object: ...
 
--- /dev/null
+++ b/samphirebend/lookup.py
@@ -0,0 +1,168 @@
+"""Answers look-ups: which entry host a caller should use for a service.
+
+Answers are prepared as bytes for each service and region and reused for a
+short time, so that a look-up costs little more than its HTTP exchange. The
+hosts to name come from `router`; this module keeps no other state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+from typing import Any, Final, Protocol
+from urllib.parse import parse_qs
+
+import msgspec
+
+from .errorcodes import ANSWERS, ErrorKind
+from .httpserver import ServerRequest
+from .job import failure_headers
+from .ledger import key_prefix, make_nonce
+from .manifest import Manifest, Service
+from .metrics import Metrics
+
+REFRESH_S: Final = 0.2
+MAX_ALTERNATES: Final = 3
+MAX_PREPARED: Final = 10_000
+# Each answer names one host first; several draws spread the callers.
+DRAWS: Final = 8
+
+
+class Candidate:
+    """A host that a look-up may name."""
+
+    __slots__ = ("address", "host", "incarnation", "key_epoch")
+
+    def __init__(
+        self, host: str, address: str, incarnation: int, key_epoch: int
+    ) -> None:
+        self.host = host
+        self.address = address
+        self.incarnation = incarnation
+        self.key_epoch = key_epoch  # as the host last told it
+
+
+class CandidateSource(Protocol):
+    """Draws the order of hosts for a service and a region of callers."""
+
+    def lookup_order(
+        self, service: str, region: str, now: float
+    ) -> list[Candidate]: ...
+
+
+class _Prepared:
+    """Answers for one service and region, to be given out in turn."""
+
+    __slots__ = ("expires_at", "texts", "turn")
+
+    def __init__(self, texts: list[tuple[bytes, str]], expires_at: float) -> None:
+        self.texts = texts  # answer without its end, and the key's prefix
+        self.expires_at = expires_at
+        self.turn = 0
+
+
+@lru_cache(maxsize=4096)
+def _parse_query(query: str) -> tuple[str, str]:
+    fields = parse_qs(query)
+    return fields.get("service", [""])[0], fields.get("region", [""])[0]
+
+
+class Lookup:
+    """Answers `GET /v1/lookup`."""
+
+    __slots__ = (
+        "_clock",
+        "_host",
+        "_manifest",
+        "_metrics",
+        "_prepared",
+        "_region_of",
+        "_source",
+        "_ttl_ms",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        ttl_s: float,
+        source: CandidateSource,
+        region_of: Callable[[str], str],
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._ttl_ms = round(ttl_s * 1000)
+        self._source = source
+        self._region_of = region_of  # a caller's address to its region
+        self._metrics = metrics
+        self._clock = clock
+        self._manifest: Manifest | None = None
+        self._prepared: dict[tuple[str, str], _Prepared] = {}
+
+    def apply(self, manifest: Manifest) -> None:
+        """Follow the manifest in force."""
+        self._manifest = manifest
+        self._prepared.clear()
+
+    def answer(self, req: ServerRequest) -> None:
+        """Answer one look-up."""
+        manifest = self._manifest
+        if manifest is None:
+            self._refuse(req, ErrorKind.NO_MANIFEST)
+            return
+        name, region = _parse_query(req.target.partition("?")[2])
+        service = manifest.services.get(name)
+        if service is None:
+            self._refuse(req, ErrorKind.UNKNOWN_SERVICE)
+            return
+        if region not in manifest.regions:
+            region = self._region_of(req.peer_ip)
+        prepared = self._prepare(service, region)
+        if not prepared.texts:
+            self._refuse(req, ErrorKind.NO_UPSTREAM)
+            return
+        self._metrics.count_lookup(name)
+        prepared.turn = (prepared.turn + 1) % len(prepared.texts)
+        text, prefix = prepared.texts[prepared.turn]
+        end = f'"{prefix}{make_nonce()}"}}'.encode() if prefix else b"}"
+        req.respond(200, [(b"Content-Type", b"application/json")], text + end)
+
+    def _prepare(self, service: Service, region: str) -> _Prepared:
+        key = (service.name, region)
+        now = self._clock()
+        prepared = self._prepared.get(key)
+        if prepared is None or now >= prepared.expires_at:
+            if len(self._prepared) >= MAX_PREPARED:
+                self._prepared.clear()
+            prepared = self._prepared[key] = self._build(service, region, now)
+        return prepared
+
+    def _build(self, service: Service, region: str, now: float) -> _Prepared:
+        texts = []
+        for _ in range(DRAWS):
+            order = self._source.lookup_order(service.name, region, now)
+            if order:
+                texts.append(self._render(service, order))
+        return _Prepared(texts, now + REFRESH_S)
+
+    def _render(self, service: Service, order: list[Candidate]) -> tuple[bytes, str]:
+        named, *others = order
+        fields: dict[str, Any] = {
+            "host": named.host,
+            "address": named.address,
+            "ttl_ms": self._ttl_ms,
+            "alternates": [
+                {"host": item.host, "address": item.address}
+                for item in others[:MAX_ALTERNATES]
+            ],
+        }
+        text = msgspec.json.encode(fields)[:-1]
+        if service.idempotent:
+            return text, ""
+        prefix = key_prefix(named.host, named.incarnation, named.key_epoch)
+        return text + b',"key":', prefix
+
+    def _refuse(self, req: ServerRequest, kind: ErrorKind) -> None:
+        answer = ANSWERS[kind]
+        headers = failure_headers(kind, answer.outcome, "", self._host)
+        req.respond(answer.status, headers, answer.text.encode())
--- a/samphirebend/metrics.py
+++ b/samphirebend/metrics.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from aioprometheus.collectors import Collector, Counter, Gauge, Histogram, Registry
@@ -210,8 +210,7 @@
         )
         self._table_calls = self._counter(
             "table_calls_total",
-            "Calls to the table service, by operation and outcome.",
-            "operation",
+            "Calls to the table service, by outcome.",
             "outcome",
         )
         self._leases_held = self._gauge(
@@ -272,9 +271,10 @@
         """Count one error answer to a caller."""
         self._refusals.add((kind._value_,))
 
-    def count_table_call(self, operation: str, outcome: str) -> None:
-        """Count one call to the table service, such as ("get", "ok")."""
-        self._table_calls.add((operation, outcome))
+    def set_table_calls(self, counts: Mapping[str, int]) -> None:
+        """Take over the calls to the table service since the start, by outcome."""
+        for outcome, count in counts.items():
+            self._table_calls.set((outcome,), count)
 
     def observe_drain(self, subject: str, seconds: float) -> None:
         """Count a finished drain of a "host", a "shard" or an "upstream"."""
--- /dev/null
+++ b/samphirebend/relay.py
@@ -0,0 +1,180 @@
+"""Passes a request to another entry host over its relay address.
+
+Two uses: `dispatch` lets a peer with a free slot run the request, and
+`execute` takes a keyed request to the process that its key names. Bytes that
+go to another region are paced by the link budget. `dispatch` and `entry`
+decide what a failure means for the request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, unique
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from .errorcodes import ErrorKind, Outcome
+from .exchange import (
+    AnswerReceiver,
+    FlowGate,
+    PacedWriter,
+    Pacer,
+    Received,
+    StreamedAnswer,
+    UploadPipe,
+)
+from .httpclient import ConnectionPool, ResponseHead
+from .httpserver import Headers
+from .job import Job, answer_headers
+from .ledger import KeptAnswer
+from .manifest import Host
+
+# Bytes of a request's head, for the pacing of small requests.
+HEAD_BYTES: Final = 512
+# The peer gives up first, so that its answer still arrives in time.
+DEADLINE_MARGIN_S: Final = 0.02
+
+
+@unique
+class RelayMode(Enum):
+    """What the receiving host is to do with a relayed request."""
+
+    DISPATCH = "dispatch"
+    EXECUTE = "execute"
+
+
+class RelayAnswer:
+    """A peer's answer; kind and outcome as the peer stated them."""
+
+    __slots__ = ("answer", "kind", "outcome")
+
+    def __init__(
+        self,
+        answer: KeptAnswer | StreamedAnswer,
+        outcome: Outcome,
+        kind: ErrorKind | None,
+    ) -> None:
+        self.answer = answer
+        self.outcome = outcome
+        self.kind = kind  # None: an upstream's answer
+
+
+class RelayClient:
+    """Sends requests to the relays of other hosts."""
+
+    __slots__ = ("_host", "_pacer_to", "_pool", "_reactor")
+
+    def __init__(
+        self,
+        host: str,
+        reactor: Any,
+        pool: ConnectionPool,
+        pacer_to: Callable[[str], Pacer | None],
+    ) -> None:
+        self._host = host
+        self._reactor = reactor
+        self._pool = pool
+        self._pacer_to = pacer_to  # region to pacer, None within the region
+
+    async def send(
+        self, job: Job, peer: Host, mode: RelayMode
+    ) -> Result[RelayAnswer, ErrorKind]:
+        """Run the exchange; CONNECT_FAILED means that nothing was written."""
+        acquired = await self._pool.acquire(peer.relay)
+        if isinstance(acquired, Err):
+            return Err(ErrorKind.CONNECT_FAILED)
+        conn = acquired.ok_value
+        remaining_s = job.deadline - self._reactor.seconds()
+        pacer = self._pacer_to(peer.region)
+        wait_s = pacer(job_bytes(job)) if pacer is not None else 0.0
+        if wait_s + DEADLINE_MARGIN_S >= remaining_s:
+            conn.cancel()
+            return Err(ErrorKind.LINK_CAP_REACHED)
+        writer = PacedWriter(
+            job.req.write,
+            FlowGate(conn.pause, conn.resume),
+            None,
+            self._reactor.callLater,
+        )
+        receiver = AnswerReceiver(
+            conn, job.request_id, job.req, self._make_headers, writer
+        )
+        timer = self._reactor.callLater(remaining_s, self._time_out, conn, receiver)
+        self._reactor.callLater(wait_s, self._write, job, conn, mode, pacer, receiver)
+        received: Received = await receiver.result
+        if timer.active():
+            timer.cancel()
+        if isinstance(received, Err):
+            return received
+        return Ok(_read_answer(receiver.head_seen, received.ok_value))
+
+    def _make_headers(self, head: ResponseHead) -> Headers:
+        request_id = head.header.get(b"request-id", b"").decode("latin-1")
+        served_by = head.header.get(b"served-by", b"").decode("latin-1")
+        headers = answer_headers(head.headers, request_id, served_by)
+        length = head.header.get(b"content-length")
+        return [*headers, (b"Content-Length", length)] if length else headers
+
+    def _write(
+        self,
+        job: Job,
+        conn: Any,
+        mode: RelayMode,
+        pacer: Pacer | None,
+        receiver: AnswerReceiver,
+    ) -> None:
+        if receiver.result.called:
+            return
+        if not conn.open:
+            receiver.fail(ErrorKind.CONNECT_FAILED)
+            return
+        headers = [
+            (b"Host", b"relay"),
+            *job.headers,
+            (b"Request-Id", job.request_id.encode("latin-1")),
+            (b"Relay-Mode", mode.value.encode()),
+            (b"Relay-Host", self._host.encode()),
+            (b"Request-Timeout-Ms", str(self._peer_timeout_ms(job)).encode()),
+            *job.body_headers(),
+        ]
+        if job.key is not None:
+            headers.append((b"Idempotency-Key", job.key.encode("latin-1")))
+        path = f"/v1/services/{job.service.name}{job.target}"
+        if mode is RelayMode.DISPATCH:
+            job.life.begin_dispatch()
+        conn.send(job.method, path, headers, job.body, receiver)
+        if job.body is None:
+            job.body_taken = True
+            pipe = UploadPipe(
+                job.req, conn, pacer, self._reactor.callLater, receiver.fail
+            )
+            pipe.start()
+
+    def _peer_timeout_ms(self, job: Job) -> int:
+        remaining_s = job.deadline - self._reactor.seconds() - DEADLINE_MARGIN_S
+        return max(1, int(remaining_s * 1000))
+
+    @staticmethod
+    def _time_out(conn: Any, receiver: AnswerReceiver) -> None:
+        conn.cancel()
+        receiver.fail(ErrorKind.UPSTREAM_TIMEOUT)
+
+
+def job_bytes(job: Job) -> int:
+    """Return the bytes that are written at once when the job is sent."""
+    return HEAD_BYTES + (len(job.body) if job.body is not None else 0)
+
+
+def _read_answer(
+    head: ResponseHead | None, answer: KeptAnswer | StreamedAnswer
+) -> RelayAnswer:
+    header = head.header if head is not None else {}
+    kind_text = header.get(b"error-kind", b"").decode("latin-1")
+    outcome_text = header.get(b"request-outcome", b"").decode("latin-1")
+    try:
+        outcome = Outcome(outcome_text)
+        kind = ErrorKind(kind_text) if kind_text else None
+    except ValueError:
+        return RelayAnswer(answer, Outcome.UNKNOWN, ErrorKind.INTERNAL_ERROR)
+    return RelayAnswer(answer, outcome, kind)
--- a/samphirebend/shards.py
+++ b/samphirebend/shards.py
@@ -23,11 +23,11 @@
 class LinkShare:
     """A shard's part of the link from its region to another, in bytes per second."""
 
-    __slots__ = ("receive_bytes_per_s", "send_bytes_per_s")
+    __slots__ = ("receiving", "sending")
 
     def __init__(self, sending: int, receiving: int) -> None:
-        self.send_bytes_per_s = sending  # from the shard's region to the other
-        self.receive_bytes_per_s = receiving  # from callers in the other region
+        self.sending = sending  # from the shard's region to the other
+        self.receiving = receiving  # from callers in the other region
 
 
 def score(key: str, host: str) -> int:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -287,6 +287,19 @@
             assert status == 200, answer
             for host in self.hosts:
                 self.wait_version(host, 1)
+            self.wait_active(1)
+
+    def wait_active(self, version: int, timeout_s: float = 10.0) -> None:
+        """Wait until every running host may use all its slots of a version."""
+
+        def active() -> bool:
+            running = [name for name in self.hosts if self.children[name].running()]
+            rows = [self.admin(name, "/v1/status")[1] for name in running]
+            return all(
+                row["active_version"] >= version and row["shards"] for row in rows
+            )
+
+        eventually(active, timeout_s, f"manifest {version} active on every host")
 
     def start_stand_ins(self) -> None:
         """Start the table service, the upstreams by region, and the proxy."""
--- a/tests/unit/test_leasekeeper.py
+++ b/tests/unit/test_leasekeeper.py
@@ -66,9 +66,11 @@
         self.frozen = self.stopping = False
         self.handlers: dict[type, Callable[[Any, Any], None]] = {}
         self.heartbeat_fillers: list[Callable[[Heartbeat], None]] = []
-        self.heartbeat_listeners: list[Callable[[Heartbeat, float], None]] = []
+        self.heartbeat_listeners: list[Callable[[Heartbeat, float], object]] = []
         self.reply_fillers: list[Callable[..., None]] = []
-        self.reply_listeners: list[Callable[..., None]] = []
+        self.reply_listeners: list[
+            Callable[[HeartbeatReply, float, float], object]
+        ] = []
         self.limits = Limits()
         self.limits.apply(1, MANIFEST, 0.0)
         self.keeper = LeaseKeeper(
