Cut idempotency keys in dumps

Cause: the ledger keeps its entries by the random part of a key, so a dump showed whole keys as names, and whoever has a key can read its answer. Ruled out: cutting every long hexadecimal text, because request ids have the same form and must stay searchable in the log. Change: names of that form, and whole keys in texts, keep 8 digits. Conclusion: a test covers both, and a request id that stays as it is.

--- a/samphirebend/dump.py
+++ b/samphirebend/dump.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import deque
 from collections.abc import Iterable, Mapping, Set as AbstractSet
 from enum import Enum
@@ -36,6 +37,11 @@
 )
 # Fields that match a hidden part but hold no secret.
 _SHOWN_NAMES: Final = frozenset(("key_epoch", "max_body_bytes"))
+# Whoever knows an idempotency key can read its answer. The ledger's entries have
+# the random part as name; elsewhere the whole key is a text. Other texts of this
+# length, such as request ids, stay readable.
+_RANDOM_NAME: Final = re.compile(r"(.*?[0-9a-f]{8})[0-9a-f]{24,}", re.DOTALL)
+_KEY_TEXT: Final = re.compile(r"(\.[0-9a-f]{16}\.\d+\.[0-9a-f]{8})[0-9a-f]{24}")
 _OWN_PACKAGE: Final = __name__.partition(".")[0]
 
 
@@ -152,6 +158,7 @@
 @to_plain.register
 def _(value: str, walk: Walk) -> object:
     cut = value[:MAX_TEXT_LENGTH].encode("utf-8", "replace").decode()
+    cut = _KEY_TEXT.sub(r"\1...", cut)
     return cut if len(value) <= MAX_TEXT_LENGTH else f"{cut}{CUT}"
 
 
@@ -196,7 +203,9 @@
         return f"({len(name)} bytes)"
     if not isinstance(name, str | int | float) and type(name).__str__ is object.__str__:
         return f"({type(name).__qualname__})"
-    return str(name)[:MAX_TEXT_LENGTH].encode("utf-8", "replace").decode()
+    shown = str(name)[:MAX_TEXT_LENGTH].encode("utf-8", "replace").decode()
+    match = _RANDOM_NAME.fullmatch(shown)
+    return f"{match[1]}..." if match is not None else shown
 
 
 @to_plain.register(list)
--- a/tests/unit/test_dump.py
+++ b/tests/unit/test_dump.py
@@ -92,6 +92,20 @@
     ]
 
 
+def test_idempotency_keys_are_cut() -> None:
+    # Guards against a dump from which a reader can fetch callers' answers, and
+    # against request ids that nobody can search for.
+    nonce = "0123456789abcdef" * 2
+    key = f"norra-1.{'0' * 16}.3.{nonce}"
+    plain = shown({"entries": {3: {nonce: 1}}, key: 2, "last": key, "request": nonce})
+    assert plain == {
+        "entries": {"3": {"01234567...": 1}},
+        f"norra-1.{'0' * 16}.3.01234567...": 2,
+        "last": f"norra-1.{'0' * 16}.3.01234567...",
+        "request": nonce,
+    }
+
+
 def test_objects_of_other_packages_are_not_entered() -> None:
     # Guards against dumping a reactor, a socket or key material.
     assert dump(Point(1.0, set())) == "(tests.unit.test_dump.Point)"
