--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -277,6 +277,7 @@
     def start(self, commit: bool = True) -> None:
         """Start everything, commit the manifest and wait for it to be in force."""
         self.start_stand_ins()
+        self.list_upstreams()
         self.write_settings()
         for host in self.hosts:
             self.start_daemon(host, wait=False)
@@ -354,6 +355,7 @@
                 "failure_domain": host["failure_domain"],
                 **{f"{field}_address": host[field] for field in ADDRESS_FIELDS},
                 "table_url": f"http://{self.table}",
+                "platform_list_url": f"http://{self.table}/endpointslices",
             }
             ends = {"to": name, "to_region": region}
             for field in ("relay", "peer", "entry"):
@@ -419,6 +421,24 @@
 
         eventually(applied, timeout_s, f"manifest {version} in force on {host}")
 
+    def wait_lookup(self, host: str, service: str, timeout_s: float = 15.0) -> None:
+        """Wait until a host answers look-ups for a service."""
+        path = f"/v1/lookup?service={service}"
+
+        def answers() -> bool:
+            try:
+                return http_json("GET", self.entries[host], path)[0] == 200
+            except OSError:
+                return False
+
+        eventually(answers, timeout_s, f"look-up for {service} on {host}")
+
+    def write_manifest(self) -> Path:
+        """Write the manifest to a file for the command-line tool."""
+        path = self.folder / "manifest.json"
+        path.write_bytes(msgspec.json.encode(self.manifest))
+        return path
+
     def admin(
         self, host: str, path: str, data: object = None, timeout_s: float = 5.0
     ) -> tuple[int, Any]:
@@ -438,6 +458,21 @@
         data = {"text": text, "base_version": base_version, "commit_id": commit_id}
         return self.admin(host or next(iter(self.hosts)), "/v1/manifest", data, 15.0)
 
+    def list_upstreams(self, leaving: Collection[str] = ()) -> None:
+        """Set the platform's list: all upstreams, those of `leaving` terminating."""
+        endpoints = []
+        for service in self.manifest["services"]:
+            for upstream in service["upstreams"]:
+                ip, _, port = upstream["address"].rpartition(":")
+                state = {"serving": True, "terminating": upstream["name"] in leaving}
+                endpoints.append({"address": ip, "port": int(port), **state})
+        self.table_fault(endpoints=endpoints)
+
+    def table_fault(self, **faults: object) -> None:
+        """Switch faults of the table service, as its stand-in names them."""
+        status, answer = http_json("POST", self.table, "/_control", faults)
+        assert status == 200, answer
+
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         self.children[name].send(signal.SIGKILL)
--- a/tests/integration/test_standins.py
+++ b/tests/integration/test_standins.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from tests.cluster import Child, Data, eventually, http_json
+from tests.cluster import Child, Data, broken_conditions, eventually, http_json
 from tests.standins.upstream import answer_body, content_digest
 
 
@@ -270,3 +270,32 @@
     assert own["requests"] == own["done"] + own["did_not_run"] > 0
     assert foreign["wrong"] > 0
     assert foreign["done"] == 0
+
+
+@pytest.mark.parametrize(
+    ("told", "outcome", "runs", "keyed", "count"),
+    [
+        ({"x.0": "done"}, "done", {"x.0": ["done"]}, True, 0),
+        ({"x.0": "done"}, "done", {"x.0": ["done", "done"]}, True, 1),
+        ({"x.0": "done"}, "done", {"x.0": ["done", "done"]}, False, 0),
+        ({"x.0": "done"}, "done", {"x.0": ["cancelled"]}, False, 1),
+        ({"x.0": "did-not-run"}, "did-not-run", {"x.0": ["crashed"]}, False, 1),
+        ({"x.0": "did-not-run", "x.1": "done"}, "done", {"x.1": ["done"]}, True, 0),
+        ({"x.0": "unknown"}, "unknown", {"x.0": ["done"]}, True, 0),
+        ({"x.0": ""}, "lost", {}, True, 1),
+    ],
+)
+def test_verdict_finds_broken_conditions(
+    told: dict[str, str],
+    outcome: str,
+    runs: dict[str, list[str]],
+    keyed: bool,
+    count: int,
+) -> None:
+    """Guards against a verdict that passes over double runs and lost answers."""
+    record: Data = {"id": "x", "outcome": outcome, "told": told, "sha256": ""}
+    ledger = {
+        name: [{"state": state, "sha256": ""} for state in states]
+        for name, states in runs.items()
+    }
+    assert len(broken_conditions([{**record, "keyed": keyed}], ledger)) == count
