Move shards of removed hosts, and compute shares by region

Cause: after a host was removed from the manifest, its region could wait for ever to activate the version, because the released row of the removed shard was never read; and every host computed the shares of all regions. Ruled out: taking such a shard at once; a live removed host releases it itself. Change: mates read the row of a removed shard; a removed host is no witness; assignment and caps are computed for the regions that are asked for. Conclusion: the new test failed before for a removed host that was live or dead, and passes now.

--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -305,7 +305,9 @@
             return False
         if shard == self._host:
             return shard in self._region_shards()
-        if self._is_live(shard, now) or not self._unheard_for(shard, LIVE_S, now):
+        removed = shard not in self._region_shards()
+        absent = self._unheard_for(shard, LIVE_S, now)
+        if not removed and not absent:
             return False
         if any(
             shard in other.shards and now < other.heard_at + LIVE_S
@@ -494,12 +496,15 @@
             return
         if found.ok_value is None:
             now = self._clock()
-            if shard == self._host or self._unheard_for(shard, self._lease_s, now):
+            unheard = self._unheard_for(shard, self._lease_s, now)
+            if shard == self._host or unheard or shard not in self._region_shards():
                 await self._take(shard, 0, 1, waits=False)
             return
         row = _ShardRow(found.ok_value)
         self._rows[shard] = row
         self._witness.learn(shard, row.generation)
+        if row.released() and shard not in self._region_shards():
+            return
         if row.released():
             await self._take(shard, row.revision, row.generation + 1, waits=False)
         elif self._is_own(row):
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -12,7 +12,7 @@
 
 from .errorcodes import ErrorKind
 from .manifest import Manifest, Upstream
-from .shards import assign, cap_shares
+from .shards import assign_region, cap_shares
 
 
 class Slot:
@@ -48,19 +48,34 @@
 
 
 class _Plan:
-    """Limits that one manifest version gives to each shard."""
+    """Limits that one manifest version gives to each shard.
 
-    __slots__ = ("caps", "manifest", "shards", "version")
+    Shards and shares are computed for a region when first asked for, because
+    a host only uses those of its own region.
+    """
+
+    __slots__ = ("_caps", "_shards", "manifest", "version")
 
     def __init__(self, version: int, manifest: Manifest) -> None:
         self.version = version
         self.manifest = manifest
-        self.shards = assign(manifest)
-        self.caps = {name: cap_shares(manifest, name) for name in manifest.regions}
+        self._shards: dict[str, dict[str, str]] = {}  # by region and upstream
+        self._caps: dict[str, dict[str, int]] = {}  # by region and shard
+
+    def shards(self, region: str) -> dict[str, str]:
+        """Return the shard of each of a region's upstreams."""
+        if region not in self._shards:
+            self._shards[region] = assign_region(self.manifest, region)
+        return self._shards[region]
+
+    def shard(self, upstream: str) -> str | None:
+        """Return an upstream's shard, or None if the version has no such upstream."""
+        found = self.manifest.upstreams.get(upstream)
+        return self.shards(found.region)[upstream] if found else None
 
     def find(self, upstream: str, held: frozenset[str]) -> Upstream | None:
         """Return the upstream if its shard is held."""
-        if self.shards.get(upstream) not in held:
+        if self.shard(upstream) not in held:
             return None
         return self.manifest.upstreams[upstream]
 
@@ -70,20 +85,24 @@
         A former holder may still have a request at each slot whose wait is not
         over, so these slots are taken off the share of a shard just taken over.
         """
+        if region not in self._caps:
+            known = region in self.manifest.regions
+            self._caps[region] = cap_shares(self.manifest, region) if known else {}
         occupied: dict[str, int] = {}
-        for name, shard in self.shards.items():
-            if shard in waits.taken_at and self.waits(name, waits):
-                slots = self.manifest.upstreams[name].slots
-                occupied[shard] = occupied.get(shard, 0) + slots
+        if waits.taken_at:
+            for name, shard in self.shards(region).items():
+                if self.waits(name, waits):
+                    slots = self.manifest.upstreams[name].slots
+                    occupied[shard] = occupied.get(shard, 0) + slots
         return sum(
             max(0, share - occupied.get(shard, 0))
-            for shard, share in self.caps.get(region, {}).items()
+            for shard, share in self._caps[region].items()
             if shard in held
         )
 
     def waits(self, upstream: str, waits: _Waits) -> bool:
         """Tell whether a former holder's requests may still occupy the upstream."""
-        taken_at = waits.taken_at.get(self.shards[upstream])
+        taken_at = waits.taken_at.get(self.shard(upstream) or "")
         service = self.manifest.services[self.manifest.upstreams[upstream].service]
         return taken_at is not None and waits.now < taken_at + service.timeout_s
 
@@ -135,6 +154,7 @@
         """Replace the set of shards that are usable now."""
         self._waits.now = max(self._waits.now, now)
         self._held = shards
+        self._end_waits()
         self._update_drained()
 
     def note_takeover(self, shard: str, now: float) -> None:
@@ -220,7 +240,7 @@
         return sum(
             count
             for name, count in self._in_flight.items()
-            if any(plan.shards.get(name) == shard for plan in plans)
+            if any(plan.shard(name) == shard for plan in plans)
         )
 
     def drained_version(self) -> int:
@@ -248,6 +268,19 @@
         found = [plan.find(upstream, self._held) for plan in self._plans()]
         return min(item.slots if item else 0 for item in found)
 
+    def _end_waits(self) -> None:
+        """Forget takeovers that no service's timeout reaches back to."""
+        if not self._waits.taken_at or not self._plans():
+            return
+        longest_s = max(
+            service.timeout_s
+            for plan in self._plans()
+            for service in plan.manifest.services.values()
+        )
+        for shard, taken_at in list(self._waits.taken_at.items()):
+            if self._waits.now >= taken_at + longest_s:
+                del self._waits.taken_at[shard]
+
     def _connection_limit(self, plan: _Plan, upstream: str) -> int:
         found = plan.find(upstream, self._held)
         return found.connections if found else 0
--- a/samphirebend/shards.py
+++ b/samphirebend/shards.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from .manifest import Manifest, Upstream
+from .manifest import Manifest
 
 MAX_WITNESSES: Final = 7
 BYTES_PER_MBIT: Final = 125_000
@@ -36,18 +36,27 @@
 
 
 def assign(manifest: Manifest) -> dict[str, str]:
-    """Return each upstream's shard, by rendezvous hashing with bounded loads.
+    """Return each upstream's shard."""
+    shards: dict[str, str] = {}
+    for region in manifest.regions:
+        shards.update(assign_region(manifest, region))
+    return shards
+
+
+def assign_region(manifest: Manifest, region: str) -> dict[str, str]:
+    """Assign a region's upstreams by rendezvous hashing with bounded loads.
 
     Pairs of upstream and host are taken in the order of their hash; a host
     takes at most ceil(n / hosts) of a service's n upstreams in its region.
     """
-    groups: dict[tuple[str, str], list[Upstream]] = {}
+    groups: dict[str, list[str]] = {}
     for upstream in manifest.upstreams.values():
-        groups.setdefault((upstream.service, upstream.region), []).append(upstream)
+        if upstream.region == region:
+            groups.setdefault(upstream.service, []).append(upstream.name)
+    hosts = manifest.hosts_of(region)
     shards: dict[str, str] = {}
-    for (_, region), upstreams in groups.items():
-        names = [upstream.name for upstream in upstreams]
-        shards.update(_assign_group(names, manifest.hosts_of(region)))
+    for names in groups.values():
+        shards.update(_assign_group(names, hosts))
     return shards
 
 
@@ -92,19 +101,22 @@
 def cap_shares(manifest: Manifest, region: str) -> dict[str, int]:
     """Split a region's cap over its shards in proportion to their slots."""
     slots = dict.fromkeys(manifest.hosts_of(region), 0)
-    for name, shard in assign(manifest).items():
-        if shard in slots:
-            slots[shard] += manifest.upstreams[name].slots
+    for name, shard in assign_region(manifest, region).items():
+        slots[shard] += manifest.upstreams[name].slots
     return split(manifest.regions[region].max_in_flight, slots)
 
 
 def witnesses(manifest: Manifest, shard: str) -> list[str]:
-    """Return the hosts that witness a shard's lease, its own host first."""
+    """Return the hosts that witness a shard's lease, its own host first.
+
+    The own host is left out once the manifest no longer lists it.
+    """
+    own = [shard] if shard in manifest.hosts else []
     others = sorted(
         (name for name in manifest.hosts if name != shard),
         key=lambda name: (-score(shard, name), name),
     )
-    return [shard, *others[: MAX_WITNESSES - 1]]
+    return [*own, *others[: MAX_WITNESSES - len(own)]]
 
 
 def link_shares(manifest: Manifest, region: str, other: str) -> dict[str, LinkShare]:
--- a/tests/unit/test_leasekeeper.py
+++ b/tests/unit/test_leasekeeper.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from hypothesis import given, settings, strategies as st
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -13,6 +14,8 @@
 
 from samphirebend.leasekeeper import LeaseKeeper
 from samphirebend.limits import Limits
+from samphirebend.manifest import Manifest
+from samphirebend.shards import assign
 from samphirebend.wire import Heartbeat, HeartbeatReply, decode, encode
 
 from .small_manifest import REGIONS, make_manifest
@@ -84,6 +87,10 @@
         )
         self.keeper.note_manifest(1, MANIFEST)
 
+    def apply(self, version: int, manifest: Manifest) -> None:
+        self.limits.apply(version, manifest, self.world.clock.seconds())
+        self.keeper.note_manifest(version, manifest)
+
     def on_message(self, kind: type, handler: Callable[[Any, Any], None]) -> None:
         self.handlers[kind] = handler
 
@@ -251,6 +258,35 @@
     assert world.table.writes == writes
 
 
+@pytest.mark.parametrize("dead", [False, True])
+def test_manifest_change_waits_for_every_holder(dead: bool) -> None:
+    """Guards a removed host's upstreams, and majorities across the change."""
+    world = World()
+    world.run(8)
+    smaller = make_manifest(REGIONS | {"south": ["s1"]})
+    moved = next(u for u, s in assign(MANIFEST).items() if s == "s2")
+    for host in MANIFEST.hosts:
+        if host != "s2":
+            world.nodes[host].apply(2, smaller)
+    world.run(6)
+    limits = world.nodes["s1"].limits
+    assert limits.active_version() == 1
+    assert not isinstance(limits.reserve(moved, world.clock.seconds()), Ok)
+    if dead:
+        world.kill("s2")
+    else:
+        world.nodes["s2"].apply(2, smaller)
+    # The removed host may release its shard before its next heartbeat.
+    world.clock.pump([0.1] * 5)
+    world.run(9)
+    assert world.held("s2") == frozenset()
+    assert world.held("s1") == {"s1"}
+    assert limits.active_version() == 2
+    assert isinstance(limits.reserve(moved, world.clock.seconds()), Ok)
+    witnesses = str(world.table.rows["shard#s1"].attributes["witnesses"])
+    assert set(witnesses.split("\n")) == set(smaller.hosts)
+
+
 @settings(max_examples=15)
 @given(st.integers(0, 2**32))
 def test_recovers_from_any_disturbance_without_overlap(seed: int) -> None:
