Limit lease steps to four a second for each shard

Cause: during a table outage each tick of 100 ms started another renewal or fence; and a failed tick would have ended the periodic loop. Ruled out: limits for each kind of step, since a shard needs one at a time. Change: one interval for all table steps of a shard; a failed tick is logged; a slot names the shard whose lease must be valid at the dispatch.

--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -29,7 +29,7 @@
 
 TICK_S: Final = 0.1
 LIVE_S: Final = 1.5
-READ_INTERVAL_S: Final = 0.25
+STEP_INTERVAL_S: Final = 0.25
 MAX_LEASES_PER_HEARTBEAT: Final = 256
 MAX_STEPS_PER_TICK: Final = 8
 HELD: Final = "held"
@@ -150,7 +150,7 @@
         self._witness = Witness(self._started_at, lease_s)
         self._takeovers: dict[str, Takeover] = {}
         self._rows: dict[str, _ShardRow] = {}  # as last read or written
-        self._read_at: dict[str, float] = {}
+        self._tried_at: dict[str, float] = {}  # start of the last table step
         self._dropped: dict[str, int] = {}  # generations not to be used again
         self._taken_at: dict[str, float] = {}
         self._returning: dict[str, float] = {}  # shard to start of its drain
@@ -164,7 +164,7 @@
         self._renewals = 0
         self._written_on: dict[str, int] = {}  # revision of the last row write
         self._acquired_at: dict[str, float] = {}
-        self._loop = LoopingCall(self.tick)
+        self._loop = LoopingCall(self._tick_safely)
         self._loop.clock = reactor
         peers.heartbeat_fillers.append(self._fill_heartbeat)
         peers.heartbeat_listeners.append(self._note_heartbeat)
@@ -232,11 +232,20 @@
         self._update_returns(now)
         started = 0
         for shard, step in self._due_steps(now):
-            if shard not in self._busy and started < MAX_STEPS_PER_TICK:
+            due = now >= self._tried_at.get(shard, NEVER) + STEP_INTERVAL_S
+            if due and shard not in self._busy and started < MAX_STEPS_PER_TICK:
                 started += 1
+                self._tried_at[shard] = now
                 self._run(shard, step(shard))
         self._activate(now)
 
+    def _tick_safely(self) -> None:
+        """Keep the loop running after a failed tick; it would stop otherwise."""
+        try:
+            self.tick()
+        except Exception:
+            logger.exception("lease tick failed")
+
     def _run(self, shard: str, step: Coroutine[Any, Any, None]) -> None:
         self._busy.add(shard)
 
@@ -259,8 +268,7 @@
             elif self._holder.needs_renewal(shard, now) or self._terms_differ(shard):
                 steps.append((shard, self._renew))
         for shard in sorted(self._region_shards() | self._old_shards):
-            due = now >= self._read_at.get(shard, NEVER) + READ_INTERVAL_S
-            if shard not in leases and due and self._wants(shard, now):
+            if shard not in leases and self._wants(shard, now):
                 steps.append((shard, self._acquire))
         steps.extend((shard, self._fence) for shard in self._witness.to_fence())
         return steps
@@ -379,7 +387,6 @@
 
     async def _read(self, shard: str) -> _ShardRow | None:
         """Read a row; None if it is missing or the table gave no answer."""
-        self._read_at[shard] = self._clock()
         found = await self._table.get(f"shard#{shard}")
         if not isinstance(found, Ok) or found.ok_value is None:
             return None
@@ -490,7 +497,6 @@
         """Create a row, take a released shard, or go on with a takeover."""
         if self._stopping:
             return
-        self._read_at[shard] = self._clock()
         found = await self._table.get(f"shard#{shard}")
         if not isinstance(found, Ok):
             return
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -18,10 +18,11 @@
 class Slot:
     """A reserved slot; released once."""
 
-    __slots__ = ("in_use", "region", "upstream")
+    __slots__ = ("in_use", "region", "shard", "upstream")
 
-    def __init__(self, upstream: str, region: str) -> None:
+    def __init__(self, upstream: str, region: str, shard: str) -> None:
         self.upstream = upstream
+        self.shard = shard  # whose lease must be valid at the dispatch
         self.region = region
         self.in_use = True
 
@@ -177,7 +178,8 @@
             return Err(ErrorKind.REGION_CAP_REACHED)
         _add(self._in_flight, upstream, 1)
         _add(self._region_in_flight, found.region, 1)
-        return Ok(Slot(upstream, found.region))
+        shard = self._plans()[-1].shards(found.region)[upstream]
+        return Ok(Slot(upstream, found.region, shard))
 
     def release(self, slot: Slot) -> None:
         """Return a slot; a second call has no effect."""
