Print the demo's seed

Cause: a run that breaks a condition must be repeatable from its output. Ruled out: the seed in the log only, because the temporary folder goes away.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -35,7 +35,7 @@
 _libc = ctypes.CDLL(None)
 
 
-def _die_with_parent() -> None:
+def _end_with_parent() -> None:
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
@@ -185,7 +185,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=log,
-                preexec_fn=_die_with_parent,
+                preexec_fn=_end_with_parent,
             )
         self.pid = self.process.pid
 
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -137,7 +137,9 @@
         for host in cluster.hosts:
             for service in services:
                 cluster.wait_lookup(host, service)
-        print(f"{user}: {len(cluster.hosts)} hosts serve; load for {LOAD_S:.0f} s")
+        print(
+            f"{user}, seed {seed}: {len(cluster.hosts)} hosts, {LOAD_S:.0f} s of load"
+        )
         loads = make_loads(manifest)
         cluster.start_caller("caller", loads=loads, duration_s=LOAD_S)
         start = time.monotonic()
