--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -28,6 +28,7 @@
 CHUNK_BYTES = 16384
 QUEUE_BYTES = 1 << 20
 TICK_S = 0.01
+TABLE_READS = 5
 SELECTORS = ("listener", "from", "to", "from_region", "to_region")
 FAULTS = ("cut", "lose_answer", "truncate", "delay", "freeze")
 EFFECTS: dict[str, Any] = {
@@ -43,23 +44,36 @@
 Rule = dict[str, Any]
 
 
-def owner_of(address: tuple[str, int], pids: list[int]) -> int | None:
-    """Return which of the processes owns the socket bound to an address."""
-    ip = socket.inet_aton(address[0])[::-1].hex().upper()
-    wanted = f"{ip}:{address[1]:04X}"
-    inode = ""
+def _hex_address(address: tuple[str, int]) -> str:
+    return f"{socket.inet_aton(address[0])[::-1].hex().upper()}:{address[1]:04X}"
+
+
+def owner_of(
+    address: tuple[str, int], remote: tuple[str, int], pids: list[int]
+) -> int | None:
+    """Return which of the processes owns the socket from an address to another.
+
+    The kernel's table is not read as one snapshot, and a line may be missing
+    while other connections come and go, so a few reads are made.
+    """
+    for _ in range(TABLE_READS):
+        inode = _find_inode(_hex_address(address), _hex_address(remote))
+        for pid in pids if inode else ():
+            with contextlib.suppress(OSError):
+                for entry in os.scandir(f"/proc/{pid}/fd"):
+                    with contextlib.suppress(OSError):
+                        if os.readlink(entry.path) == inode:
+                            return pid
+    return None
+
+
+def _find_inode(local: str, remote: str) -> str:
     with open("/proc/net/tcp") as table:
         for line in table:
             fields = line.split()
-            if fields[1] == wanted:
-                inode = f"socket:[{fields[9]}]"
-    for pid in pids:
-        with contextlib.suppress(OSError):
-            for entry in os.scandir(f"/proc/{pid}/fd"):
-                with contextlib.suppress(OSError):
-                    if os.readlink(entry.path) == inode:
-                        return pid
-    return None
+            if fields[1] == local and fields[2] == remote and fields[9] != "0":
+                return f"socket:[{fields[9]}]"
+    return ""
 
 
 class Pair:
@@ -275,7 +289,8 @@
         ends["listener"] = spec["name"]
         if not ends["from"] and self.origins:
             peer = writer.get_extra_info("peername")
-            pid = owner_of(peer[:2], list(self.origins))
+            own = writer.get_extra_info("sockname")
+            pid = owner_of(peer[:2], own[:2], list(self.origins))
             if pid is not None:
                 ends["from"] = self.origins[pid]["name"]
                 ends["from_region"] = self.origins[pid]["region"]
