--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -148,6 +148,8 @@
             return
         job = made
         job.relay_allowed = mode is None or mode is RelayMode.EXECUTE
+        if mode is not None:
+            job.relay_host = req.text(b"relay-host") or ""
         keyed = not job.service.idempotent
         if key_text is not None and keyed:
             job.key = key_text
@@ -334,7 +336,10 @@
         if isinstance(answer, StreamedAnswer):
             return
         headers = answer_headers(answer.headers, job.request_id, self._host)
-        job.req.respond(answer.status, headers, answer.body)
+        length = None
+        if job.method == "HEAD":
+            length = dict(answer.headers).get(b"content-length")
+        job.req.respond(answer.status, headers, answer.body, length)
 
     def _answer_failure(
         self, job: Job, kind: ErrorKind, outcome: Outcome | None
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -20,7 +20,7 @@
 
 from .addresses import Address
 from .errorcodes import ErrorKind
-from .httpserver import Headers
+from .httpserver import BODILESS_STATUSES, Headers
 
 CONNECT_TIMEOUT_S: Final = 1.0
 # An upstream may close an idle connection at any time; a short stay in the
@@ -45,7 +45,7 @@
         return (
             b"content-length" in self.header
             or b"transfer-encoding" in self.header
-            or self.status in (204, 304)
+            or self.status in BODILESS_STATUSES
         )
 
 
@@ -68,7 +68,6 @@
         self._pool = pool
         self._h11 = self._make_parser()
         self._sink: ResponseSink | None = None
-        self._head_request = False
         self.idle_since = 0.0
         self.open = False
         self.write_began = False  # of the current exchange
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -28,6 +28,7 @@
 # closed with unread bytes, so the rest of the body is read and dropped first.
 DISCARD_TIMEOUT_S: Final = 1.0
 MAX_HEADER_BYTES: Final = 32 * 1024
+BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class BodySink(TypingProtocol):
@@ -141,13 +142,17 @@
         if self.on_closed is not None:
             self.on_closed()
 
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
+    def respond(
+        self, status: int, headers: Headers, body: bytes, length: bytes | None = None
+    ) -> None:
+        """Send a whole answer; `length` replaces the body's, for HEAD."""
         if self.closed:
             return
         self.answered = True
-        length = (b"Content-Length", str(len(body)).encode())
-        self._conn.send_whole(self, status, [*headers, length], body)
+        if status not in BODILESS_STATUSES:
+            length = length or str(len(body)).encode()
+            headers = [*headers, (b"Content-Length", length)]
+        self._conn.send_whole(self, status, headers, body)
 
     def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows by `write`."""
--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -55,6 +55,7 @@
         "life",
         "method",
         "relay_allowed",
+        "relay_host",
         "relays",
         "req",
         "request_id",
@@ -86,6 +87,8 @@
         self.key: str | None = None  # idempotency key of the caller
         self.life: RequestLife = make_request_life()
         self.relay_allowed = True
+        # Host that passed the request on; empty for a caller's own request.
+        self.relay_host = ""
         self.attempts = 0  # at upstreams of this host
         self.relays = 0  # to peers
         self.tried: set[str] = set()  # upstreams and hosts that failed
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -189,9 +189,8 @@
 
     def sender_region(self, job: Job) -> str:
         """Return the region that the request came from, empty if unknown."""
-        relay_host = job.req.text(b"relay-host")
-        if relay_host and self._manifest is not None:
-            configured = self._manifest.hosts.get(relay_host)
+        if job.relay_host and self._manifest is not None:
+            configured = self._manifest.hosts.get(job.relay_host)
             return configured.region if configured is not None else ""
         return self.region_of_caller(job.req.peer_ip)
 
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -196,3 +196,19 @@
     now[0] = 100.0
     assert pool._take_idle(address) is None
     assert transport.aborted
+
+
+def test_head_keeps_the_length_of_the_resource_and_sends_no_body() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    seen[0].respond(200, [], b"", b"1000")
+    assert transport.value().endswith(b"Content-Length: 1000\r\n\r\n")
+    conn.setTimeout(None)
+
+
+def test_answer_without_a_body_has_no_length() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+    seen[0].respond(204, [], b"")
+    assert b"Content-Length" not in transport.value()
+    conn.setTimeout(None)
