--- a/samphirebend/routing.py
+++ b/samphirebend/routing.py
@@ -1,10 +1,10 @@
 """Choice of the upstream, of the peer for a relay, and of hosts for look-ups.
 
-`entry` calls `choose_upstream` for the upstreams of its own shards and, if
-none has a free slot or another region is much emptier, `choose_peer`. `lookup`
-calls `rank_hosts`. All three weigh the measure of the user: "latency" or
-"headroom". Own outcomes go before reports; what peers and upstreams report only
-decides between choices that own outcomes do not tell apart.
+`entry` calls `choose_peer` for each request of its own callers. If that names
+no host, and for requests that were relayed to it, it calls `choose_upstream`
+for the upstreams of its own shards. `lookup` calls `rank_hosts`. The measure of
+the user is "latency" or "headroom". Own outcomes go before reports; figures
+told by peers lose their weight within the time that a request holds a slot.
 """
 
 from __future__ import annotations
@@ -28,12 +28,29 @@
 CROWDING_COST: Final = 0.5
 # Bodies above this stay in the region while it has a free slot.
 SMALL_BYTES: Final = 64 * 1024
-# The own region must have this much less free share before a small idempotent
-# request leaves it for the sake of headroom.
-REGION_MARGIN: Final = 0.25
+# Share of small idempotent requests that leave the region per unit by which
+# another region's free share is higher.
+ROAMING_GAIN: Final = {"headroom": 5.0, "latency": 2.0}
+MAX_ROAMING: Final = 0.9
+# By how much the free share of a peer in the region must exceed the own one
+# before a request that could stay is relayed to it.
+NEIGHBOUR_MARGIN: Final = {"headroom": 0.1, "latency": 0.2}
 # No more relays for the sake of headroom when the link has this backlog.
 MAX_BACKLOG_S: Final = 0.02
 RELAY_LOG_S: Final = 3.0
+TOLD_WEIGHT: Final = 0.2  # of the newest heartbeat in the average of free slots
+# Below this a refusal at the peer is all but certain.
+MIN_EXPECTED_FREE: Final = 0.3
+OWN_SAMPLE_S: Final = 0.5  # the interval of heartbeats
+# After the first, averages of what peers told fade to static shares with the
+# second: uneven demand outlasts the figures that showed it.
+STALE_S: Final = 5.0
+STALE_FADE_S: Final = 20.0
+# What a refused relay costs the caller: a pause and another try.
+REFUSAL_COST_S: Final = 0.25
+# Weight of a host's slots beside its free ones: a caller keeps an answer for
+# longer than a figure of free slots is worth.
+LOOKUP_STATIC_SHARE: Final = 0.5
 # A shift starts at this rate for each region and may grow by this factor per
 # second; from 20 to 1,000 requests per second takes about 8 s.
 SHIFT_FLOOR_PER_S: Final = 20.0
@@ -104,12 +121,19 @@
 
 
 class RelayLog:
-    """Relays that this host sent lately, to correct what peers last told."""
+    """What this host knows of its peers' slots beside the last heartbeat.
 
-    __slots__ = ("_sent",)
+    Keeps the relays sent lately, the refusals met, and a moving average of the
+    free share that each peer tells.
+    """
+
+    __slots__ = ("_refused", "_sent", "_told")
 
     def __init__(self) -> None:
         self._sent: dict[tuple[str, str], deque[float]] = {}
+        self._refused: dict[tuple[str, str], float] = {}
+        # Time of the newest heartbeat and the average of the told free slots.
+        self._told: dict[tuple[str, str], tuple[float, float]] = {}
 
     def note_relay(self, host: str, service: str, now: float) -> None:
         """Record that a request of the service is relayed to the host."""
@@ -118,6 +142,10 @@
         while sent and sent[0] < now - RELAY_LOG_S:
             sent.popleft()
 
+    def note_refused(self, host: str, service: str, now: float) -> None:
+        """Record that the host refused a relay for lack of a slot."""
+        self._refused[(host, service)] = now
+
     def sent_since(self, host: str, service: str, since: float) -> int:
         """Return how many relays of the service went to the host since then."""
         sent = self._sent.get((host, service), ())
@@ -128,11 +156,49 @@
             count += 1
         return count
 
+    def refused_at(self, host: str, service: str) -> float:
+        """Return when the host last refused a relay of the service."""
+        return self._refused.get((host, service), -math.inf)
+
+    def average_free(self, option: PeerOption, service: str) -> float:
+        """Return the moving average of the free slots that the peer tells."""
+        key = (option.host, service)
+        average = self._average(key, option.free, option.heard_at)
+        return min(average, float(option.total))
+
+    def host_free(self, option: PeerOption) -> float:
+        """Return the moving average of the peer's free slots of all services."""
+        return self._average((option.host, ""), option.host_free, option.heard_at)
+
+    def own_free(self, free: int, now: float) -> float:
+        """Return the same average of this host's own slots."""
+        heard_at, average = self._told.get(("", ""), (-math.inf, float(free)))
+        if now - heard_at < OWN_SAMPLE_S:
+            return average
+        return self._average(("", ""), free, now)
+
+    def _average(self, key: tuple[str, str], free: int, heard_at: float) -> float:
+        last_at, average = self._told.get(key, (-math.inf, float(free)))
+        if heard_at > last_at:
+            average += TOLD_WEIGHT * (free - average)
+            self._told[key] = (heard_at, average)
+        return average
+
 
 class PeerOption:
     """A live peer as a target of a relay of one service."""
 
-    __slots__ = ("backlog_s", "delay_s", "free", "heard_at", "host", "region", "total")
+    __slots__ = (
+        "backlog_s",
+        "delay_s",
+        "free",
+        "heard_at",
+        "host",
+        "host_free",
+        "host_total",
+        "region",
+        "total",
+    )
 
     def __init__(
         self,
@@ -140,6 +206,8 @@
         region: str,
         free: int,
         total: int,
+        host_free: int,
+        host_total: int,
         heard_at: float,
         delay_s: float,
         backlog_s: float,
@@ -148,6 +216,8 @@
         self.region = region
         self.free = free  # slots of the service, from the last heartbeat
         self.total = total
+        self.host_free = host_free  # slots of all services
+        self.host_total = host_total
         self.heard_at = heard_at  # time of that heartbeat
         self.delay_s = delay_s  # one way
         self.backlog_s = backlog_s  # of the link to its region
@@ -156,7 +226,18 @@
 class RelayRequest:
     """What `choose_peer` needs to know of a request and of its host."""
 
-    __slots__ = ("idempotent", "own_free", "own_total", "region", "service", "size")
+    __slots__ = (
+        "expected_s",
+        "host_free",
+        "host_total",
+        "idempotent",
+        "own_free",
+        "own_total",
+        "own_total",
+        "region",
+        "service",
+        "size",
+    )
 
     def __init__(
         self,
@@ -166,23 +247,51 @@
         region: str,
         own_free: int,
         own_total: int,
+        host_free: int,
+        host_total: int,
+        expected_s: float,
     ) -> None:
         self.service = service
+        self.expected_s = expected_s  # time that requests of the service hold a slot
         self.size = size  # bytes of the body, or the most that may follow
         self.idempotent = idempotent
         self.region = region  # of this host
         self.own_free = own_free  # slots that `choose_upstream` may use
         self.own_total = own_total
+        self.host_free = host_free  # of all services, at this host
+        self.host_total = host_total
 
 
-def free_now(option: PeerOption, service: str, log: RelayLog) -> int:
-    """Return the peer's free slots less the relays that it cannot have counted.
+def expected_free(
+    option: PeerOption, request: RelayRequest, log: RelayLog, now: float
+) -> float:
+    """Return the free slots to expect at the peer.
 
-    A relay sent within one round trip before the heartbeat was heard had not
-    reached the peer when the heartbeat left it.
+    What a heartbeat told loses its worth within the time that a request holds
+    a slot; older figures fade to the average of what the peer tells, and after
+    5 s to half of its slots. Own relays that the heartbeat cannot have counted
+    are subtracted while they last: a relay sent within one round trip before
+    the heartbeat was heard had not reached the peer when it left. A refusal
+    since the heartbeat says that there was no slot at all.
     """
-    since = option.heard_at - 2 * option.delay_s
-    return option.free - log.sent_since(option.host, service, since)
+    hold_s = max(0.01, request.expected_s)
+    age_s = max(0.0, now - option.heard_at)
+    average = log.average_free(option, request.service)
+    average += (option.total / 2 - average) * _staleness(option, now)
+    since = max(option.heard_at - 2 * option.delay_s, now - hold_s)
+    taken = log.sent_since(option.host, request.service, since)
+    told, told_age_s = float(option.free), age_s + option.delay_s
+    refused_at = log.refused_at(option.host, request.service)
+    if refused_at > option.heard_at - option.delay_s:
+        told, told_age_s = 0.0, now - refused_at
+    fresh = math.exp(-told_age_s / hold_s)
+    return average + (told - average) * fresh - taken
+
+
+def _staleness(option: PeerOption, now: float) -> float:
+    """Return the weight, from 0 to 1, of the static share: half of the slots."""
+    late_s = now - option.heard_at - STALE_S
+    return 0.0 if late_s <= 0.0 else 1.0 - math.exp(-late_s / STALE_FADE_S)
 
 
 def choose_peer(
@@ -196,71 +305,110 @@
 ) -> str | None:
     """Return the host to relay to, None to keep or refuse the request.
 
-    With an own free slot, only the measure "headroom" relays: a small
-    idempotent request, to a region whose free share is higher by a margin.
-    Without one, a peer of the own region comes first, then the nearest region.
+    With an own free slot, a peer of the region is taken if it is emptier by a
+    margin, and small idempotent requests go to an emptier region; the user's
+    measure sets how readily. Without one, the peer with the least expected
+    cost in seconds is taken: the way there and back, and a refusal as likely
+    as its slots are few. A large body stays in the region while a peer there
+    is likely to have a slot.
     """
+    every = list(options)
     usable = []
-    for option in options:
-        free = free_now(option, request.service, log)
-        if free > 0:
+    for option in every:
+        free = expected_free(option, request, log, now)
+        if free >= MIN_EXPECTED_FREE and not math.isinf(
+            option.delay_s + option.backlog_s
+        ):
             usable.append((option, free))
     local = [item for item in usable if item[0].region == request.region]
-    remote = [item for item in usable if item[0].region != request.region]
     if request.own_free > 0:
-        if measure != HEADROOM or not _may_roam(request):
+        host = _emptier_neighbour(request, local, NEIGHBOUR_MARGIN[measure])
+        if host is not None:
+            return host
+        if not (request.idempotent and request.size <= SMALL_BYTES):
             return None
-        return _emptier_region(request, local, remote, shift, now, rng)
-    if local:
-        return _draw(local, rng)
-    if not remote:
-        return None
-    nearest_s = min(option.delay_s + option.backlog_s for option, _ in remote)
-    if math.isinf(nearest_s):
-        return None
-    # Regions within 5 ms of the nearest are as good as the nearest.
-    near = [
-        item
-        for item in remote
-        if item[0].delay_s + item[0].backlog_s <= nearest_s + 0.005
-    ]
-    chosen = _draw(near, rng)
-    region = next(option.region for option, _ in near if option.host == chosen)
-    return chosen if shift.take(region, now) else None
-
+        gain = ROAMING_GAIN[measure]
+        return _emptier_region(request, every, usable, log, shift, gain, now, rng)
+    likely = [item for item in local if item[1] >= 1.0]
+    if likely and request.size > SMALL_BYTES:
+        return _draw(likely, rng)
+    costs = sorted(
+        (_relay_cost_s(option, free), option.host, option.region)
+        for option, free in usable
+    )
+    for _, host, region in costs:
+        if region == request.region or shift.take(region, now):
+            return host
+    return None
+
+
+def _relay_cost_s(option: PeerOption, free: float) -> float:
+    travel_s = 2 * option.delay_s + option.backlog_s
+    return travel_s + REFUSAL_COST_S * math.exp(-free)
+
+
+def _emptier_neighbour(
+    request: RelayRequest, local: list[tuple[PeerOption, float]], margin: float
+) -> str | None:
+    """Return the peer of the region with the highest free share of the service.
 
-def _may_roam(request: RelayRequest) -> bool:
-    return request.idempotent and request.size <= SMALL_BYTES
+    None unless it is higher than the own one by a margin.
+    """
+    best = None
+    best_share = request.own_free / max(1, request.own_total) + margin
+    for option, free in local:
+        share = free / max(1, option.total)
+        if share > best_share:
+            best, best_share = option.host, share
+    return best
 
 
 def _emptier_region(
     request: RelayRequest,
-    local: list[tuple[PeerOption, int]],
-    remote: list[tuple[PeerOption, int]],
+    options: Iterable[PeerOption],
+    usable: list[tuple[PeerOption, float]],
+    log: RelayLog,
     shift: ShiftLimiter,
+    gain: float,
     now: float,
     rng: Random,
 ) -> str | None:
-    free = request.own_free + sum(item[1] for item in local)
-    total = request.own_total + sum(item[0].total for item in local)
-    own_share = free / total if total else 0.0
-    regions: dict[str, list[tuple[PeerOption, int]]] = {}
-    for item in remote:
-        if item[0].backlog_s <= MAX_BACKLOG_S:
-            regions.setdefault(item[0].region, []).append(item)
-    best = None
-    best_share = own_share + REGION_MARGIN
-    for region, items in sorted(regions.items()):
-        region_total = sum(option.total for option, _ in items)
-        share = sum(count for _, count in items) / max(1, region_total)
-        if share > best_share:
-            best, best_share = region, share
-    if best is None or not shift.take(best, now):
+    """Return a peer in an emptier region, as likely as that region is emptier.
+
+    All services count, since a site's heat and a region's cap do not
+    distinguish them. The share moved is proportional to the difference: moving
+    all or nothing on figures that lag would swing between the regions.
+    """
+    free = {request.region: log.own_free(request.host_free, now)}
+    total = {request.region: float(request.host_total)}
+    for option in options:
+        told = log.host_free(option)
+        told += (option.host_total / 2 - told) * _staleness(option, now)
+        free[option.region] = free.get(option.region, 0.0) + told
+        total[option.region] = total.get(option.region, 0.0) + option.host_total
+    share = {name: free[name] / max(1.0, total[name]) for name in free}
+    targets = [
+        item
+        for item in usable
+        if item[0].region != request.region
+        and item[1] >= 1.0
+        and item[0].backlog_s <= MAX_BACKLOG_S
+        and share[item[0].region] > share[request.region]
+    ]
+    if not targets:
+        return None
+    best = max(share[option.region] for option, _ in targets)
+    if rng.random() >= min(MAX_ROAMING, gain * (best - share[request.region])):
         return None
-    return _draw(regions[best], rng)
+    weights = [
+        count * (share[option.region] - share[request.region])
+        for option, count in targets
+    ]
+    chosen = rng.choices([option for option, _ in targets], weights)[0]
+    return chosen.host if shift.take(chosen.region, now) else None
 
 
-def _draw(items: list[tuple[PeerOption, int]], rng: Random) -> str:
+def _draw(items: list[tuple[PeerOption, float]], rng: Random) -> str:
     """Draw a peer weighted by its free slots.
 
     Hosts that heard the same heartbeat would all take its emptiest sender.
@@ -348,7 +496,7 @@
     for option in options:
         if option.stopping:
             continue
-        weight = max(option.free, 0) + 0.05 * option.total + 0.01
+        weight = max(option.free, 0) + LOOKUP_STATIC_SHARE * option.total + 0.01
         distance_s = 0.0 if option.in_region else option.delay_s
         # Exponential draws divided by weights order as a weighted draw
         # without replacement (Efraimidis and Spirakis, 2006).
