Follow the new routing policy; show regions, ages and parts to operators

Cause: the policy asks for the free slots of all services, refusals and the time that a slot is held; metrics lacked regions and ages of reports; the dump left out the parts without start and stop.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -170,6 +170,17 @@
     def _register(self, servers: list[HttpServer]) -> None:
         cfg, reactor = self._cfg, self._reactor
         kernel = self.kernel
+        for name, part in (
+            ("membership", self.membership),
+            ("limits", self.limits),
+            ("upstream_states", self.states),
+            ("quarantine", self.quarantine),
+            ("ledger", self.ledger),
+            ("link_budgets", self.budgets),
+            ("router", self.router),
+            ("drain", self.drain),
+        ):
+            kernel.register(name, part)
         kernel.register("store", self.store)
         kernel.register("peers", self.peers)
         kernel.register("spread", self.spread)
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from loguru import logger
 from result import Err, Ok
 from twisted.internet.defer import Deferred
 
@@ -388,7 +389,13 @@
         if kind is not ErrorKind.UPSTREAM_BROKEN:
             self._quarantine.note_end(job.fingerprint, upstream.name)
             return received
-        self._quarantine.note_crash(upstream.name, now)
+        suspects = self._quarantine.note_crash(upstream.name, now)
+        logger.warning(
+            "upstream broke the connection",
+            upstream=upstream.name,
+            request_id=job.request_id,
+            suspects=len(suspects),
+        )
         await self._peers.notify_now(NOTIFY_TIMEOUT_S)
         return received
 
@@ -405,6 +412,7 @@
             self._note(upstream, DispatchOutcome.REFUSED, sent_at)
             return Err(ErrorKind.UPSTREAM_REFUSED)
         job.life.answer()
+        self._router.note_held(job.service.name, now - sent_at)
         self._quarantine.note_answer(job.fingerprint, upstream.name, now)
         failed = answer is not None and answer.status >= 500
         outcome = DispatchOutcome.FAILED if failed else DispatchOutcome.ANSWERED
@@ -452,6 +460,7 @@
             return Ok(relayed.answer)
         if relayed.outcome is Outcome.DID_NOT_RUN:
             job.life.refuse()
+            self._router.note_refused(place.host, job.service.name)
         else:
             job.life.lose()
         return Err(relayed.kind)
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -351,6 +351,14 @@
             may_have_run = job.life.outcome() is not Outcome.DID_NOT_RUN
             outcome = outcome_after(kind, may_have_run)
         self._metrics.count_refusal(kind)
+        log = logger.warning if outcome is Outcome.UNKNOWN else logger.debug
+        log(
+            "request not answered by an upstream",
+            request_id=job.request_id,
+            service=job.service.name,
+            kind=kind.value,
+            outcome=outcome.value,
+        )
         needs_key = outcome is Outcome.DID_NOT_RUN and not job.service.idempotent
         self._refuse(job.req, kind, outcome, job.request_id, needs_key)
 
--- a/samphirebend/kernel.py
+++ b/samphirebend/kernel.py
@@ -1,23 +1,25 @@
 """Micro-kernel: holds the services of one daemon and finds them by name.
 
-The daemon registers every service before the start. Services are started in
-the order of registration and stopped in reverse, so a service may use those
-registered before it for its whole life. The kernel knows nothing of what the
-services do.
+The daemon registers every service before the start. Services that are
+`Startable` are started in the order of registration and stopped in reverse, so
+a service may use those registered before it for its whole life. Others only
+hold state, which the dump shows under their name. The kernel knows nothing of
+what the services do.
 """
 
 from __future__ import annotations
 
 from collections.abc import Awaitable
-from typing import Protocol, TypeVar
+from typing import Protocol, TypeVar, runtime_checkable
 
 from loguru import logger
 
 ServiceType = TypeVar("ServiceType")
 
 
-class Service(Protocol):
-    """Start and stop; either may return an awaitable."""
+@runtime_checkable
+class Startable(Protocol):
+    """A service with work of its own; start and stop may return an awaitable."""
 
     def start(self) -> Awaitable[None] | None: ...
 
@@ -34,10 +36,10 @@
     __slots__ = ("_services", "_started")
 
     def __init__(self) -> None:
-        self._services: dict[str, Service] = {}  # in order of registration
+        self._services: dict[str, object] = {}  # in order of registration
         self._started: list[str] = []  # names of running services
 
-    def register(self, name: str, service: Service) -> None:
+    def register(self, name: str, service: object) -> None:
         """Add a service under a name; raise ServiceError if the name is taken."""
         if name in self._services:
             raise ServiceError(f"service {name} is registered twice")
@@ -65,6 +67,8 @@
     async def start(self) -> None:
         """Start all services in order; stop those already started on a failure."""
         for name, service in self._services.items():
+            if not isinstance(service, Startable):
+                continue
             try:
                 pending = service.start()
                 if pending is not None:
@@ -79,8 +83,10 @@
         """Stop running services in reverse; a failure does not keep the others up."""
         while self._started:
             name = self._started.pop()
+            service = self._services[name]
+            assert isinstance(service, Startable)
             try:
-                pending = self._services[name].stop()
+                pending = service.stop()
                 if pending is not None:
                     await pending
             except Exception:
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -36,6 +36,9 @@
 from .upstreamstate import UpstreamStates
 
 MS_PER_S: Final = 1000.0
+# Weight of the newest request in the average time that a slot is held.
+HELD_WEIGHT: Final = 0.05
+DEFAULT_HELD_S: Final = 0.1
 
 
 class Router:
@@ -44,6 +47,7 @@
     __slots__ = (
         "_budgets",
         "_clock",
+        "_held_s",
         "_host",
         "_ledger",
         "_limits",
@@ -81,6 +85,7 @@
         self._relay_log = RelayLog()
         self._shift = ShiftLimiter()
         self._manifest: Manifest | None = None
+        self._held_s: dict[str, float] = {}  # moving average by service
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
@@ -97,7 +102,7 @@
     def peer_for(self, job: Job, own_free: int, now: float) -> str | None:
         """Return the peer to relay the job to, or None to keep it."""
         manifest = self._manifest
-        if manifest is None or (own_free > 0 and manifest.measure != HEADROOM):
+        if manifest is None:
             return None
         service = job.service
         size = job.size_hint or (0 if job.body is not None else service.max_body_bytes)
@@ -108,6 +113,9 @@
             self._region,
             own_free,
             self._limits.total(service.name),
+            self._own_sum(manifest, self._limits.free),
+            self._own_sum(manifest, self._limits.total),
+            self._held_s.get(service.name, DEFAULT_HELD_S),
         )
         options = self._peer_options(manifest, job, now)
         return choose_peer(
@@ -136,6 +144,8 @@
                     region,
                     view.free(service),
                     view.total(service),
+                    sum(load.free for load in view.loads.values()),
+                    sum(load.total for load in view.loads.values()),
                     view.heard_at,
                     self._delay_s(self._region, region),
                     self._budgets.backlog(region, now),
@@ -143,6 +153,10 @@
             )
         return options
 
+    @staticmethod
+    def _own_sum(manifest: Manifest, of_service: Callable[[str], int]) -> int:
+        return sum(of_service(name) for name in manifest.services)
+
     def _delay_s(self, region: str, other: str) -> float:
         if region == other or self._manifest is None:
             return 0.0
@@ -153,6 +167,15 @@
         """Record that a request goes to a peer."""
         self._relay_log.note_relay(host, service, self._clock())
 
+    def note_refused(self, host: str, service: str) -> None:
+        """Record that a peer refused a request for lack of a slot."""
+        self._relay_log.note_refused(host, service, self._clock())
+
+    def note_held(self, service: str, seconds: float) -> None:
+        """Record for how long a request of the service held a slot."""
+        known_s = self._held_s.get(service, seconds)
+        self._held_s[service] = known_s + HELD_WEIGHT * (seconds - known_s)
+
     def runner_of_suspect(self, job: Job, now: float) -> str:
         """Return the only host that may run a request suspected of crashes.
 
--- a/samphirebend/status.py
+++ b/samphirebend/status.py
@@ -114,14 +114,33 @@
         for region in self._other_regions():
             used = min(1.0, self._backlog_s(region, now) / FULL_BACKLOG_S)
             metrics.set_link_free(daemon.region, region, 1.0 - used)
-        free = sum(row["free"] for row in self._services())
-        total = sum(row["total"] for row in self._services())
-        metrics.set_region_free(daemon.region, free / total if total else 0.0)
+        for region, share in self._region_free(now).items():
+            metrics.set_region_free(region, share)
+        metrics.set_measurement_ages(daemon.states.report_ages(now))
         counts = daemon.store.counts
         metrics.set_table_calls(
             {name: getattr(counts, name) for name in counts.__slots__}
         )
 
+    def _region_free(self, now: float) -> dict[str, float]:
+        """Return the free share of the slots of each region, of live hosts."""
+        in_force = self._daemon.spread.current()
+        if in_force is None:
+            return {}
+        free = dict.fromkeys(in_force.manifest.regions, 0)
+        total = dict(free)
+        for row in self._services():
+            free[self._daemon.region] += row["free"]
+            total[self._daemon.region] += row["total"]
+        for view in self._daemon.membership.live(now):
+            host = in_force.manifest.hosts.get(view.host)
+            if host is None:
+                continue
+            for load in view.loads.values():
+                free[host.region] += load.free
+                total[host.region] += load.total
+        return {name: free[name] / total[name] if total[name] else 0.0 for name in free}
+
 
 def _age(now: float, since: float) -> float | None:
     """Return the age in seconds, None for never."""
--- a/samphirebend/upstreamstate.py
+++ b/samphirebend/upstreamstate.py
@@ -520,6 +520,14 @@
             return None
         return record.report.in_use
 
+    def report_ages(self, now: float) -> dict[str, float]:
+        """Return the age in seconds of each upstream's newest report, if any."""
+        return {
+            name: now - record.report_sent_at
+            for name, record in self._records.items()
+            if record.report is not None
+        }
+
     def reported_failing(self, upstream: str, now: float) -> bool:
         """Return whether a report of the last 5 s has the status "fail"."""
         record = self._records.get(upstream)
--- /dev/null
+++ b/tests/unit/test_kernel.py
@@ -0,0 +1,69 @@
+"""Guards the order of start and stop, and that a failure leaves nothing running."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from samphirebend.kernel import Kernel, ServiceError
+
+
+class Recorder:
+    """Service that records its calls in a shared list."""
+
+    def __init__(self, name: str, calls: list[str], fails: str = "") -> None:
+        self.name = name
+        self.calls = calls
+        self.fails = fails
+
+    def start(self) -> None:
+        self._note("start")
+
+    def stop(self) -> None:
+        self._note("stop")
+
+    def _note(self, call: str) -> None:
+        self.calls.append(f"{call} {self.name}")
+        if call == self.fails:
+            raise RuntimeError(call)
+
+
+def run(kernel: Kernel, calls: list[str]) -> None:
+    Deferred.fromCoroutine(kernel.start()).addErrback(lambda _: calls.append("failed"))
+
+
+def test_services_stop_in_reverse_and_state_has_neither() -> None:
+    kernel, calls = Kernel(), list[str]()
+    kernel.register("state", {"plain": "state"})
+    for name in "ab":
+        kernel.register(name, Recorder(name, calls))
+    run(kernel, calls)
+    Deferred.fromCoroutine(kernel.stop())
+    assert calls == ["start a", "start b", "stop b", "stop a"]
+    assert kernel.find("state", dict) == {"plain": "state"}
+
+
+def test_failed_start_stops_what_runs() -> None:
+    kernel, calls = Kernel(), list[str]()
+    kernel.register("a", Recorder("a", calls))
+    kernel.register("b", Recorder("b", calls, fails="start"))
+    run(kernel, calls)
+    assert calls == ["start a", "start b", "stop a", "failed"]
+
+
+def test_failed_stop_does_not_keep_others_up() -> None:
+    kernel, calls = Kernel(), list[str]()
+    kernel.register("a", Recorder("a", calls))
+    kernel.register("b", Recorder("b", calls, fails="stop"))
+    run(kernel, calls)
+    Deferred.fromCoroutine(kernel.stop())
+    assert calls[-2:] == ["stop b", "stop a"]
+
+
+def test_wrong_names_and_types_are_refused() -> None:
+    kernel = Kernel()
+    kernel.register("a", [])
+    with pytest.raises(ServiceError):
+        kernel.register("a", [])
+    with pytest.raises(ServiceError):
+        kernel.find("a", dict)
