Send from the host's own address; identify daemons by it in the fault proxy

The fault proxy searched the kernel's connection table, 33,000 lines while other tests ran, for every relay and peer connection, and stalled all its connections meanwhile. Change: daemons connect from their configured address, also useful for rules of firewalls; each test host has its own loopback address. Conclusion: the fault was the stand-in's.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -106,7 +106,7 @@
             self.limits,
             reactor,
         )
-        self.pool = ConnectionPool(reactor, clock)
+        self.pool = ConnectionPool(reactor, clock, cfg.relay_address.ip)
         self.router = Router(
             cfg.host,
             cfg.region,
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -219,11 +219,16 @@
 class ConnectionPool:
     """Idle connections by address; opens new ones when none is idle."""
 
-    __slots__ = ("_clock", "_idle", "_reactor", "opened")
+    __slots__ = ("_clock", "_idle", "_reactor", "_source", "opened")
 
-    def __init__(self, reactor: Any, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, reactor: Any, clock: Callable[[], float], source_ip: str | None = None
+    ) -> None:
         self._reactor = reactor
         self._clock = clock
+        # Connections leave from the host's own address, so that those who
+        # answer can tell the hosts apart; None: the system chooses.
+        self._source = (source_ip, 0) if source_ip is not None else None
         self._idle: dict[Address, deque[ClientConnection]] = {}
         self.opened = 0  # connections opened since the start
 
@@ -233,7 +238,11 @@
         if conn is not None:
             return Ok(conn)
         endpoint = TCP4ClientEndpoint(
-            self._reactor, address.ip, address.port, CONNECT_TIMEOUT_S
+            self._reactor,
+            address.ip,
+            address.port,
+            CONNECT_TIMEOUT_S,
+            bindAddress=self._source,
         )
         factory = _ClientFactory(_BoundPool(self, address))
         try:
--- a/samphirebend/peers.py
+++ b/samphirebend/peers.py
@@ -184,7 +184,11 @@
     def connect(self) -> None:
         """Begin one attempt to connect."""
         endpoint = TCP4ClientEndpoint(
-            self.service.reactor, self.address.ip, self.address.port, CONNECT_TIMEOUT_S
+            self.service.reactor,
+            self.address.ip,
+            self.address.port,
+            CONNECT_TIMEOUT_S,
+            bindAddress=(self.service.address().ip, 0),
         )
         factory: Any = Factory.forProtocol(self._make_connection)
         self._attempt = endpoint.connect(factory)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -39,10 +39,10 @@
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def own_ip() -> str:
-    """Return a loopback address that no other test process uses."""
+def own_ip(index: int = 0) -> str:
+    """Return one of 60 loopback addresses that no other test process uses."""
     pid = os.getpid()
-    return f"127.{64 + (pid >> 16) % 64}.{pid >> 8 & 255}.{pid & 255 or 255}"
+    return f"127.{64 + (pid >> 10) % 64}.{pid >> 2 & 255}.{(pid & 3) * 64 + index + 1}"
 
 
 def free_port(ip: str) -> int:
@@ -251,6 +251,7 @@
             for domain in region["failure_domains"]
         }
         self.hosts: dict[str, Data] = {h["name"]: h for h in self.manifest["hosts"]}
+        self.host_ips: dict[str, str] = {}
         self.entries: dict[str, str] = {}  # host to the address for callers
 
     def __enter__(self) -> Cluster:
@@ -355,10 +356,11 @@
         """Give each host its addresses; return the proxy's listeners."""
         listeners = []
         table_region = next(iter(self.domains.values()))
-        for name, host in self.hosts.items():
+        for index, (name, host) in enumerate(self.hosts.items(), start=1):
             region = self.domains[host["failure_domain"]]
+            ip = self.host_ips[name] = own_ip(index)
             for field in ADDRESS_FIELDS:
-                host[field] = f"{self.ip}:{free_port(self.ip)}"
+                host[field] = f"{ip}:{free_port(ip)}"
             self.entries[name] = host["entry"]
             self.settings[name] = {
                 "lease_ms": 3000,
@@ -415,7 +417,7 @@
         child = self.spawn(host, "samphirebend.daemon", path)
         if self.proxy:
             origin = {"name": host, "region": self.settings[host]["region"]}
-            http_json("POST", self.proxy, "/origins", {str(child.pid): origin})
+            http_json("POST", self.proxy, "/origins", {self.host_ips[host]: origin})
         if wait:
             self.wait_daemon(host)
         return child
--- a/tests/integration/test_standins.py
+++ b/tests/integration/test_standins.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import http.client
-import os
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -220,7 +219,9 @@
         fetch(port, "/")
 
 
-def test_proxy_finds_origin_by_process(upstream: Upstreams, tmp_path: Path) -> None:
+def test_proxy_finds_origin_by_source_address(
+    upstream: Upstreams, tmp_path: Path
+) -> None:
     """Guards against faults on the wrong daemon when daemons share a listener."""
     listener = {"name": "u", "target": f"127.0.0.1:{upstream.port}", "to_region": "b"}
     path = tmp_path / "proxy.json"
@@ -232,7 +233,7 @@
         line = child.first_line()
         control = f"127.0.0.1:{line['control']}"
         origin = {"name": "me", "region": "a"}
-        http_json("POST", control, "/origins", {str(os.getpid()): origin})
+        http_json("POST", control, "/origins", {"127.0.0.1": origin})
         conn = http.client.HTTPConnection("127.0.0.1", line["ports"]["u"])
         conn.connect()
         (ends,) = eventually_list(
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -1,7 +1,7 @@
 """TCP proxy that delays, cuts, freezes and counts the traffic between regions.
 
 The origin of a connection is a listener's fixed `from` or, for daemons that
-share one listener, the process that owns the connection's other end. A rule
+share one listener, the daemon whose source address the connection has. A rule
 applies to a connection if all its selectors (`listener`, `from`, `to`,
 `from_region`, `to_region`) match; rules can change while connections are open.
 """
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 import contextlib
-import os
 import random
 import signal
 import socket
@@ -28,7 +27,6 @@
 CHUNK_BYTES = 16384
 QUEUE_BYTES = 1 << 20
 TICK_S = 0.01
-TABLE_READS = 5
 SELECTORS = ("listener", "from", "to", "from_region", "to_region")
 FAULTS = ("cut", "lose_answer", "truncate", "delay", "freeze")
 EFFECTS: dict[str, Any] = {
@@ -44,38 +42,6 @@
 Rule = dict[str, Any]
 
 
-def _hex_address(address: tuple[str, int]) -> str:
-    return f"{socket.inet_aton(address[0])[::-1].hex().upper()}:{address[1]:04X}"
-
-
-def owner_of(
-    address: tuple[str, int], remote: tuple[str, int], pids: list[int]
-) -> int | None:
-    """Return which of the processes owns the socket from an address to another.
-
-    The kernel's table is not read as one snapshot, and a line may be missing
-    while other connections come and go, so a few reads are made.
-    """
-    for _ in range(TABLE_READS):
-        inode = _find_inode(_hex_address(address), _hex_address(remote))
-        for pid in pids if inode else ():
-            with contextlib.suppress(OSError):
-                for entry in os.scandir(f"/proc/{pid}/fd"):
-                    with contextlib.suppress(OSError):
-                        if os.readlink(entry.path) == inode:
-                            return pid
-    return None
-
-
-def _find_inode(local: str, remote: str) -> str:
-    with open("/proc/net/tcp") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1] == local and fields[2] == remote and fields[9] != "0":
-                return f"socket:[{fields[9]}]"
-    return ""
-
-
 class Pair:
     """One direction between two regions: its rate limit and its byte counts."""
 
@@ -246,7 +212,7 @@
         self.rng = random.Random(seed)
         self.listeners: list[dict[str, Any]] = plan["listeners"]
         self.links: list[dict[str, Any]] = plan.get("links", [])
-        self.origins: dict[int, dict[str, str]] = {}
+        self.origins: dict[str, dict[str, str]] = {}  # by source address
         self.rules: dict[str, Rule] = {}
         self.pairs: dict[tuple[str, str], Pair] = {}
         self.tunnels: set[Tunnel] = set()
@@ -288,12 +254,10 @@
         ends = {s: str(spec.get(s, "")) for s in SELECTORS}
         ends["listener"] = spec["name"]
         if not ends["from"] and self.origins:
-            peer = writer.get_extra_info("peername")
-            own = writer.get_extra_info("sockname")
-            pid = owner_of(peer[:2], own[:2], list(self.origins))
-            if pid is not None:
-                ends["from"] = self.origins[pid]["name"]
-                ends["from_region"] = self.origins[pid]["region"]
+            origin = self.origins.get(writer.get_extra_info("peername")[0])
+            if origin is not None:
+                ends["from"] = origin["name"]
+                ends["from_region"] = origin["region"]
         return ends
 
     def control(self, method: str, target: str, body: bytes) -> object:
@@ -302,7 +266,7 @@
             return self.report()
         data = msgspec.json.decode(body)
         if target == "/origins":
-            self.origins.update({int(pid): origin for pid, origin in data.items()})
+            self.origins.update(data)
         elif target == "/links":  # the same form as in the plan
             self.links, self.pairs = data, {}
         elif target == "/rules":
