--- a/samphirebend/routing.py
+++ b/samphirebend/routing.py
@@ -30,7 +30,7 @@
 SMALL_BYTES: Final = 64 * 1024
 # Share of small idempotent requests that leave the region per unit by which
 # another region's free share is higher.
-ROAMING_GAIN: Final = {"headroom": 5.0, "latency": 2.0}
+ROAMING_GAIN: Final = {"headroom": 5.0, "latency": 3.0}
 MAX_ROAMING: Final = 0.9
 # By how much the free share of a peer in the region must exceed the own one
 # before a request that could stay is relayed to it.
--- a/samphirebend/upstreamstate.py
+++ b/samphirebend/upstreamstate.py
@@ -495,6 +495,15 @@
             return None
         return record.latency_s
 
+    def service_latency_s(self, service: str) -> float | None:
+        """Return the mean of the upstreams' average latencies, None if unknown."""
+        samples = [
+            record.latency_s
+            for record in self._records.values()
+            if record.service == service and not math.isinf(record.latency_at)
+        ]
+        return sum(samples) / len(samples) if samples else None
+
     def latency_age_s(self, upstream: str, now: float) -> float:
         """Return the seconds since the last own answer; infinite if none."""
         record = self._records.get(upstream)
--- a/tests/unit/test_upstreamstate.py
+++ b/tests/unit/test_upstreamstate.py
@@ -184,6 +184,16 @@
     assert states.reported_in_use("u0", 6.1) is None
 
 
+def test_service_latency_is_unknown_before_the_first_answer() -> None:
+    # Failures have no latency; a fast failure must not shorten the mean.
+    states = make_states()
+    fail(states, "u0", 1.0, times=1)
+    assert states.service_latency_s("s") is None
+    states.note_outcome("u0", ANSWERED, 2.0, 2.2)
+    states.note_outcome("u1", ANSWERED, 2.0, 2.4)
+    assert states.service_latency_s("s") == pytest.approx(0.3)
+
+
 EVENTS = st.tuples(
     st.sampled_from(["fail", "ok", "drain", "list", "absent", "serve", "peer", "same"]),
     st.integers(0, 6),
