Describe the callers' side; count only usable slots towards peers

Cause: peers were told the slots of ejected and cold upstreams as free, and sent requests to hosts that had to refuse them. Change: heartbeats, look-ups and relays use the slots that upstream states allow.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -221,7 +221,9 @@
         in_force = self.spread.current()
         if in_force is not None:
             heartbeat.loads = [
-                ServiceLoad(name, self.limits.free(name), self.limits.total(name))
+                ServiceLoad(
+                    name, self.router.own_free(name, now), self.limits.total(name)
+                )
                 for name in in_force.manifest.services
             ]
 
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -228,7 +228,7 @@
             return self._choose_peer(job, 0, now) or ErrorKind.CAP_REACHED
         if alone:
             return self._own_place(job, alone, now)
-        own_free = self._limits.free(job.service.name)
+        own_free = self._router.own_free(job.service.name, now)
         if own_free:
             peer = self._choose_peer(job, own_free, now)
             if peer is not None:
@@ -412,7 +412,6 @@
             self._note(upstream, DispatchOutcome.REFUSED, sent_at)
             return Err(ErrorKind.UPSTREAM_REFUSED)
         job.life.answer()
-        self._router.note_held(job.service.name, now - sent_at)
         self._quarantine.note_answer(job.fingerprint, upstream.name, now)
         failed = answer is not None and answer.status >= 500
         outcome = DispatchOutcome.FAILED if failed else DispatchOutcome.ANSWERED
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -36,8 +36,7 @@
 from .upstreamstate import UpstreamStates
 
 MS_PER_S: Final = 1000.0
-# Weight of the newest request in the average time that a slot is held.
-HELD_WEIGHT: Final = 0.05
+# Time that a request is taken to hold a slot before one was measured.
 DEFAULT_HELD_S: Final = 0.1
 
 
@@ -47,7 +46,6 @@
     __slots__ = (
         "_budgets",
         "_clock",
-        "_held_s",
         "_host",
         "_ledger",
         "_limits",
@@ -85,7 +83,6 @@
         self._relay_log = RelayLog()
         self._shift = ShiftLimiter()
         self._manifest: Manifest | None = None
-        self._held_s: dict[str, float] = {}  # moving average by service
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
@@ -99,6 +96,18 @@
         measure = self._manifest.measure if self._manifest else HEADROOM
         return choose_upstream(rooms, self._states, measure, now, self._rng)
 
+    def own_free(self, service: str, now: float) -> int:
+        """Return the slots of this host that requests may use now.
+
+        Slots of ejected and cold upstreams do not count: peers would send
+        requests to a host that must refuse them.
+        """
+        allowed = sum(
+            max(0, self._states.limit(room.upstream, room.limit, now) - room.in_flight)
+            for room in self._limits.rooms(service)
+        )
+        return min(allowed, self._limits.free(service))
+
     def peer_for(self, job: Job, own_free: int, now: float) -> str | None:
         """Return the peer to relay the job to, or None to keep it."""
         manifest = self._manifest
@@ -113,9 +122,9 @@
             self._region,
             own_free,
             self._limits.total(service.name),
-            self._own_sum(manifest, self._limits.free),
-            self._own_sum(manifest, self._limits.total),
-            self._held_s.get(service.name, DEFAULT_HELD_S),
+            sum(self.own_free(name, now) for name in manifest.services),
+            sum(self._limits.total(name) for name in manifest.services),
+            self._states.service_latency_s(service.name) or DEFAULT_HELD_S,
         )
         options = self._peer_options(manifest, job, now)
         return choose_peer(
@@ -153,10 +162,6 @@
             )
         return options
 
-    @staticmethod
-    def _own_sum(manifest: Manifest, of_service: Callable[[str], int]) -> int:
-        return sum(of_service(name) for name in manifest.services)
-
     def _delay_s(self, region: str, other: str) -> float:
         if region == other or self._manifest is None:
             return 0.0
@@ -171,11 +176,6 @@
         """Record that a peer refused a request for lack of a slot."""
         self._relay_log.note_refused(host, service, self._clock())
 
-    def note_held(self, service: str, seconds: float) -> None:
-        """Record for how long a request of the service held a slot."""
-        known_s = self._held_s.get(service, seconds)
-        self._held_s[service] = known_s + HELD_WEIGHT * (seconds - known_s)
-
     def runner_of_suspect(self, job: Job, now: float) -> str:
         """Return the only host that may run a request suspected of crashes.
 
@@ -234,7 +234,7 @@
             in_region = host.region == region
             delay_s = self._delay_s(region, host.region)
             if host.name == self._host:
-                options.append(self._own_option(service, in_region, delay_s))
+                options.append(self._own_option(service, in_region, delay_s, now))
             elif host.name in views:
                 view = views[host.name]
                 options.append(
@@ -250,12 +250,14 @@
         ranked = rank_hosts(options, self._rng)
         return [self._candidate(manifest, name, views, now) for name in ranked]
 
-    def _own_option(self, service: str, in_region: bool, delay_s: float) -> HostOption:
+    def _own_option(
+        self, service: str, in_region: bool, delay_s: float, now: float
+    ) -> HostOption:
         return HostOption(
             self._host,
             in_region,
             delay_s,
-            self._limits.free(service),
+            self.own_free(service, now),
             self._limits.total(service),
             self.stopping,
         )
