--- /dev/null
+++ b/bench/bare.py
@@ -0,0 +1,23 @@
+"""Event loop with the daemon's libraries loaded and nothing to do.
+
+Baseline for the memory and processor time of a daemon without control work.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet import reactor as installed_reactor
+
+import samphirebend.daemon  # noqa: F401
+
+
+def main() -> None:
+    """Print one line when ready, and run until the process is ended."""
+    reactor: Any = installed_reactor
+    reactor.callWhenRunning(print, "{}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/lab.py
@@ -0,0 +1,183 @@
+"""What the benchmarks share: processes, manifests of a given size, clocks."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from tests.cluster import Child, Cluster, Data, http_json, small_manifest
+
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES: Final = os.sysconf("SC_PAGE_SIZE")
+MB: Final = 1_000_000
+
+
+def load_note() -> str:
+    """Return the machine's load, to be shown with the figures."""
+    return f"load {os.getloadavg()[0]:.1f} on {os.cpu_count()} cores"
+
+
+def spread_of(values: list[float], unit: str, digits: int = 1) -> str:
+    """Return the median of repeated measurements with their range."""
+    low, high = min(values), max(values)
+    median = statistics.median(values)
+    return f"{median:.{digits}f} {unit} ({low:.{digits}f} to {high:.{digits}f})"
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * PAGE_BYTES / MB
+
+
+def cost_us(work: Callable[[], object], seconds: float = 0.1, repeats: int = 3) -> str:
+    """Return the processor time of one call, as text with its range."""
+    return spread_of(costs_us(work, seconds, repeats), "us")
+
+
+def costs_us(
+    work: Callable[[], object], seconds: float = 0.1, repeats: int = 3
+) -> list[float]:
+    """Return the processor time of one call in microseconds, measured repeatedly."""
+    work()
+    costs = []
+    for _ in range(repeats):
+        calls = 0
+        start = time.process_time()
+        while time.process_time() - start < seconds:
+            work()
+            calls += 1
+        costs.append((time.process_time() - start) / calls * 1e6)
+    return costs
+
+
+def prefix(index: int) -> str:
+    """Return the prefix of a block; all are disjoint."""
+    return f"{20 + (index >> 16)}.{index >> 8 & 255}.{index & 255}.0/24"
+
+
+def large_manifest(
+    hosts: int,
+    sites: int,
+    blocks: int,
+    regions: int = 35,
+    services: int = 3,
+    compact: bool = True,
+) -> Data:
+    """Return a manifest of a size; its addresses lead nowhere."""
+    domains = [[f"r{r}-{d}" for d in range(3)] for r in range(regions)]
+    names = [f"r{r}" for r in range(regions)]
+    pairs = itertools.combinations(names, 2)
+    prefixes = [prefix(i) for i in range(blocks)]
+    return {
+        "format": 1,
+        "organisation": "bench",
+        "measure": "latency",
+        "regions": [
+            {"name": n, "max_in_flight": 100_000, "failure_domains": d}
+            for n, d in zip(names, domains, strict=True)
+        ],
+        "links": [
+            {"between": list(p), "mbit_per_s": 1000, "delay_ms": 20} for p in pairs
+        ],
+        "hosts": [
+            {
+                "name": f"host{i:04d}",
+                "failure_domain": domains[i % regions][i % 3],
+                **{
+                    field: f"127.{i >> 8 & 255}.{i & 255}.9:{9000 + offset}"
+                    for offset, field in enumerate(("entry", "relay", "peer", "admin"))
+                },
+            }
+            for i in range(hosts)
+        ],
+        "services": [
+            {
+                "name": f"service{s}",
+                "idempotent": True,
+                "timeout_ms": 1000,
+                "max_body_bytes": 1000,
+                "upstreams": [
+                    {
+                        "name": f"site{i}",
+                        "failure_domain": domains[i % regions][i % 3],
+                        "address": f"127.{i >> 8 & 255}.{i & 255}.8:9000",
+                        "slots": 3,
+                        "connections": 300,
+                    }
+                    for i in range(s, sites, services)
+                ],
+            }
+            for s in range(services)
+        ],
+        "caller_blocks": _caller_blocks(prefixes, names, compact),
+    }
+
+
+def _caller_blocks(prefixes: list[str], names: list[str], compact: bool) -> list[Data]:
+    count = len(names)
+    if compact:
+        return [
+            {"prefixes": " ".join(prefixes[i::count]), "region": name}
+            for i, name in enumerate(names)
+            if prefixes[i::count]
+        ]
+    return [
+        {"prefix": text, "region": names[i % count]} for i, text in enumerate(prefixes)
+    ]
+
+
+class Lab(Cluster):
+    """Real daemons of one region in front of raw upstreams."""
+
+    def __init__(self, folder: Path, hosts: int = 3, work_ms: float = 1.0) -> None:
+        manifest = small_manifest({"r": hosts}, upstreams=12, slots=100, cap=10_000)
+        manifest["measure"] = "latency"
+        super().__init__(folder, manifest)
+        self.work_ms = work_ms
+
+    def __enter__(self) -> Lab:
+        return self
+
+    def _place_upstreams(self) -> list[Data]:
+        upstreams = [u for s in self.manifest["services"] for u in s["upstreams"]]
+        args = ("upstream", len(upstreams), self.work_ms, self.ip)
+        child = self.spawn("upstreams", "bench.load", *args)
+        ports: Any = child.first_line()["ports"]
+        for upstream, port in zip(upstreams, ports, strict=True):
+            upstream["address"] = f"{self.ip}:{port}"
+        return []
+
+    def send(self, name: str, address: str, target: str, **plan: object) -> Child:
+        """Start a load generator."""
+        fields = {"address": address, "target": target, **plan}
+        return self.spawn(
+            name, "bench.load", "send", msgspec.json.encode(fields).decode()
+        )
+
+    def answers(self, child: Child) -> dict[str, float]:
+        """Wait for a load generator to end; return its figures."""
+        child.process.wait(60)
+        line: dict[str, float] = child.first_line(1.0)
+        return line
+
+    def loop_lag_ms(self, host: str) -> float:
+        """Return the longest time in the last minute that blocked a daemon's loop."""
+        text = http_json("GET", self.settings[host]["admin_address"], "/metrics")[1]
+        for line in text.decode().splitlines():
+            if line.startswith("samphirebend_event_loop_lag_max_seconds"):
+                return float(line.rpartition(" ")[2]) * 1000
+        raise AssertionError("no loop lag in the metrics")
