Keep requests, look-ups and leases independent of foreign hosts

Cause: each request looked at every upstream of its service, each new look-up answer sorted the reports of all hosts eight times, and leases and link shares searched all configured hosts for those of a region several times a second.

Change: limits index the upstreams by held shards, the manifest lists the hosts of each region, look-ups stop at the nearest hosts that fill an answer, and a daemon assigns the upstreams of its own region only.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -43,7 +43,7 @@
 from .quarantine import Quarantine
 from .relay import RelayClient
 from .router import Router
-from .shards import assign, link_shares
+from .shards import assign_region, link_shares
 from .spread import InForce, make_spread
 from .status import Status
 from .store import Row, make_store
@@ -229,7 +229,10 @@
         self.limits.apply(in_force.version, manifest, now)
         self.keeper.note_manifest(in_force.version, manifest)
         self.states.apply(manifest, now)
-        self.dispatcher.apply(manifest, assign(manifest))
+        configured = manifest.hosts.get(self._cfg.host)
+        region = configured.region if configured else self._cfg.region
+        # Only shards of the own region can be held.
+        self.dispatcher.apply(manifest, assign_region(manifest, region))
         self.router.apply(manifest)
         self.entry.apply(manifest)
         self.membership.retain(manifest.hosts)
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -45,13 +45,24 @@
     a host only uses those of its own region.
     """
 
-    __slots__ = ("_caps", "_shards", "manifest", "version")
+    __slots__ = (
+        "_caps",
+        "_held",
+        "_near",
+        "_regions",
+        "_shards",
+        "manifest",
+        "version",
+    )
 
     def __init__(self, version: int, manifest: Manifest) -> None:
         self.version = version
         self.manifest = manifest
         self._shards: dict[str, dict[str, str]] = {}  # by region and upstream
         self._caps: dict[str, dict[str, int]] = {}  # by region and shard
+        self._held: frozenset[str] = frozenset()  # that the next two fit
+        self._regions: frozenset[str] = frozenset()
+        self._near: dict[str, list[Upstream]] = {}  # by service
 
     def shards(self, region: str) -> dict[str, str]:
         """Return the shard of each of a region's upstreams."""
@@ -66,9 +77,32 @@
 
     def find(self, upstream: str, held: frozenset[str]) -> Upstream | None:
         """Return the upstream if its shard is held."""
-        if self.shard(upstream) not in held:
+        found = self.manifest.upstreams.get(upstream)
+        if found is None or found.region not in self.regions(held):
             return None
-        return self.manifest.upstreams[upstream]
+        return found if self.shards(found.region)[upstream] in held else None
+
+    def regions(self, held: frozenset[str]) -> frozenset[str]:
+        """Return the regions of the shards held, outside which nothing is usable."""
+        if held != self._held:
+            self._held = held
+            hosts = self.manifest.hosts
+            names = (hosts[shard].region for shard in held if shard in hosts)
+            self._regions = frozenset(names)
+            self._near.clear()
+        return self._regions
+
+    def near(self, service: str, held: frozenset[str]) -> list[Upstream]:
+        """Return a service's upstreams whose shards are held.
+
+        Without it, each request would look at every upstream of the service.
+        """
+        self.regions(held)
+        if service not in self._near:
+            found = self.manifest.services.get(service)
+            upstreams = found.upstreams if found else []
+            self._near[service] = [u for u in upstreams if self.find(u.name, held)]
+        return self._near[service]
 
     def cap(self, region: str, held: frozenset[str], waits: _Waits) -> int:
         """Return the usable part of a region's cap.
@@ -204,9 +238,8 @@
         """Return the usable upstreams of a service with their limits."""
         if self._active is None:
             return []
-        found = self._plans()[-1].manifest.services.get(service)
         rooms = []
-        for upstream in found.upstreams if found else []:
+        for upstream in self._plans()[-1].near(service, self._held):
             limit = self._limit(upstream.name)
             if limit and self._usable(upstream):
                 in_flight = self._in_flight.get(upstream.name, 0)
--- a/samphirebend/manifest.py
+++ b/samphirebend/manifest.py
@@ -143,6 +143,7 @@
     """A checked manifest with look-up tables by name."""
 
     __slots__ = (
+        "_hosts_of",
         "caller_blocks",
         "hosts",
         "links",
@@ -168,6 +169,10 @@
         self.regions = {region.name: region for region in regions}
         self.links = {frozenset(link.regions): link for link in links}
         self.hosts = {host.name: host for host in hosts}
+        # Leases and link shares ask several times a second.
+        self._hosts_of: dict[str, list[str]] = {}
+        for name in sorted(self.hosts):
+            self._hosts_of.setdefault(self.hosts[name].region, []).append(name)
         self.services = {service.name: service for service in services}
         self.upstreams = {
             upstream.name: upstream
@@ -178,7 +183,7 @@
 
     def hosts_of(self, region: str) -> list[str]:
         """Return the names of a region's configured hosts, sorted."""
-        return sorted(h.name for h in self.hosts.values() if h.region == region)
+        return self._hosts_of.get(region, [])
 
     def link(self, region: str, other: str) -> Link | None:
         """Return the link between two regions, or None."""
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -19,9 +19,9 @@
 from .ledger import Ledger
 from .limits import Limits
 from .links import LinkBudgets
-from .lookup import Candidate
+from .lookup import MAX_ALTERNATES, Candidate
 from .manifest import Manifest
-from .membership import Membership, PeerView
+from .membership import Membership, PeerState
 from .room import Room
 from .routing import (
     HEADROOM,
@@ -55,6 +55,7 @@
         "_rng",
         "_shift",
         "_states",
+        "_tiers",
         "stopping",
     )
 
@@ -82,11 +83,14 @@
         self._relay_log = RelayLog()
         self._shift = ShiftLimiter()
         self._manifest: Manifest | None = None
+        # Region of callers to the hosts in tiers of equal delay.
+        self._tiers: dict[str, list[tuple[float, list[str]]]] = {}
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
         """Follow the manifest in force."""
         self._manifest = manifest
+        self._tiers.clear()
 
     # For requests.
 
@@ -208,31 +212,52 @@
     # For look-ups.
 
     def lookup_order(self, service: str, region: str, now: float) -> list[Candidate]:
-        """Return live hosts for callers of a region, drawn with the best first."""
+        """Return live hosts for callers of a region, drawn with the best first.
+
+        Hosts farther than the first that fill an answer are left out.
+        """
         manifest = self._manifest
         if manifest is None:
             return []
-        views = {view.host: view for view in self._membership.live(now)}
-        options = []
-        for host in manifest.hosts.values():
-            in_region = host.region == region
-            delay_s = self._delay_s(region, host.region)
-            if host.name == self._host:
-                options.append(self._own_option(service, in_region, delay_s))
-            elif host.name in views:
-                view = views[host.name]
-                options.append(
-                    HostOption(
-                        host.name,
-                        in_region,
-                        delay_s,
-                        view.free(service),
-                        view.total(service),
-                        view.stopping,
-                    )
-                )
-        ranked = rank_hosts(options, self._rng)
-        return [self._candidate(manifest, name, views, now) for name in ranked]
+        options: list[HostOption] = []
+        for delay_s, names in self._tiers_from(manifest, region):
+            for name in names:
+                in_region = manifest.hosts[name].region == region
+                option = self._option(name, service, in_region, delay_s, now)
+                if option is not None and not option.stopping:
+                    options.append(option)
+            if len(options) > MAX_ALTERNATES:
+                break
+        ranked = rank_hosts(options, self._rng)[: MAX_ALTERNATES + 1]
+        return [self._candidate(manifest, name, now) for name in ranked]
+
+    def _tiers_from(
+        self, manifest: Manifest, region: str
+    ) -> list[tuple[float, list[str]]]:
+        """Return the configured hosts by delay from a region, the region's first.
+
+        Kept until the next manifest: thousands of hosts would otherwise be
+        looked at for each answer.
+        """
+        if region not in self._tiers:
+            tiers: dict[tuple[bool, float], list[str]] = {}
+            for other in manifest.regions:
+                key = (other != region, self._delay_s(region, other))
+                tiers.setdefault(key, []).extend(manifest.hosts_of(other))
+            self._tiers[region] = [(key[1], tiers[key]) for key in sorted(tiers)]
+        return self._tiers[region]
+
+    def _option(
+        self, name: str, service: str, in_region: bool, delay_s: float, now: float
+    ) -> HostOption | None:
+        """Return a host as an answer, or None if it is not live."""
+        if name == self._host:
+            return self._own_option(service, in_region, delay_s)
+        view = self._membership.peer(name)
+        if view is None or view.state(now) is not PeerState.LIVE:
+            return None
+        free, total = view.free(service), view.total(service)
+        return HostOption(name, in_region, delay_s, free, total, view.stopping)
 
     def _own_option(self, service: str, in_region: bool, delay_s: float) -> HostOption:
         return HostOption(
@@ -244,12 +269,10 @@
             self.stopping,
         )
 
-    def _candidate(
-        self, manifest: Manifest, name: str, views: dict[str, PeerView], now: float
-    ) -> Candidate:
+    def _candidate(self, manifest: Manifest, name: str, now: float) -> Candidate:
         address = str(manifest.hosts[name].entry)
-        view = views.get(name)
-        if view is None:
+        view = self._membership.peer(name)
+        if view is None or name == self._host:
             ledger = self._ledger
             return Candidate(name, address, ledger.incarnation, ledger.epoch(now))
         return Candidate(name, address, view.incarnation, view.key_epoch)
--- /dev/null
+++ b/tests/unit/test_router.py
@@ -0,0 +1,106 @@
+"""Guards the hosts that look-ups name, and the limits' index of own upstreams."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from result import Ok
+
+from samphirebend.ledger import Ledger
+from samphirebend.limits import Limits
+from samphirebend.links import LinkBudgets
+from samphirebend.manifest import Manifest, check_manifest
+from samphirebend.membership import Membership
+from samphirebend.router import Router
+from samphirebend.shards import assign, link_shares
+from samphirebend.upstreamstate import UpstreamStates
+from samphirebend.wire import Heartbeat
+from tests.cluster import small_manifest
+
+
+def make_manifest(regions: dict[str, int], blocks: list[Any]) -> Manifest:
+    data = small_manifest(regions, upstreams=4)
+    number = 0
+    items = data["hosts"] + [u for s in data["services"] for u in s["upstreams"]]
+    for item in items:
+        fields = ("entry", "relay", "peer", "admin")
+        for field in fields if item in data["hosts"] else ("address",):
+            number += 1
+            item[field] = f"127.0.0.1:{number}"
+    data["caller_blocks"] = blocks
+    checked = check_manifest(data)
+    assert isinstance(checked, Ok), [str(fault) for fault in checked.err_value]
+    return checked.ok_value
+
+
+def make_router(manifest: Manifest, live: list[str]) -> Router:
+    membership = Membership("a-0")
+    for name in live:
+        membership.note_heartbeat(Heartbeat(name, 7, 1), 0.0)
+    router = Router(
+        "a-0",
+        "a",
+        membership,
+        Limits(),
+        UpstreamStates("a"),
+        LinkBudgets("a", link_shares),
+        Ledger("a-0", 1, 0.0),
+        lambda: 0.0,
+        random.Random(1),
+    )
+    router.apply(manifest)
+    return router
+
+
+def named(router: Router, region: str, now: float = 0.0) -> list[str]:
+    return [item.host for item in router.lookup_order("read", region, now)]
+
+
+def test_hosts_of_the_region_come_first_and_fill_the_answer() -> None:
+    # Guards against callers that are sent over a link while their region serves.
+    manifest = make_manifest({"a": 2, "b": 6}, [])
+    router = make_router(manifest, [f"b-{i}" for i in range(6)])
+    order = named(router, "b")
+    assert len(order) == 4
+    assert all(name.startswith("b") for name in order)
+    order = named(router, "a")
+    assert order[0] == "a-0"  # a-1 is not live
+    assert len(order) == 4
+    assert all(name.startswith("b") for name in order[1:])
+
+
+def test_silent_hosts_are_not_named() -> None:
+    # Guards against answers that name hosts that were not heard lately.
+    router = make_router(make_manifest({"a": 2, "b": 2}, []), ["a-1", "b-0", "b-1"])
+    assert set(named(router, "a", 1.0)) == {"a-0", "a-1", "b-0", "b-1"}
+    assert named(router, "a", 2.0) == ["a-0"]
+
+
+@pytest.mark.parametrize(
+    ("ip", "region"), [("10.1.2.3", "b"), ("10.2.0.1", "a"), ("not-an-ip", "a")]
+)
+def test_region_of_caller(ip: str, region: str) -> None:
+    # Guards against callers that are served as if they stood in this region.
+    blocks = [{"prefix": "10.1.0.0/16", "region": "b"}]
+    router = make_router(make_manifest({"a": 1, "b": 1}, blocks), [])
+    assert router.region_of_caller(ip) == region
+
+
+@given(st.sets(st.sampled_from(["a-0", "a-1", "b-0", "b-1", "gone"])))
+@settings(derandomize=True, deadline=None)
+def test_only_upstreams_of_held_shards_have_room(held: set[str]) -> None:
+    # Guards the index by region: it must neither hide nor add an upstream.
+    manifest = make_manifest({"a": 2, "b": 2}, [])
+    limits = Limits()
+    limits.apply(1, manifest, 0.0)
+    limits.activate(1)
+    limits.set_held(frozenset(held), 0.0)
+    shards = assign(manifest)
+    for service in manifest.services.values():
+        names = {room.upstream for room in limits.rooms(service.name)}
+        assert names == {u.name for u in service.upstreams if shards[u.name] in held}
+    limits.set_held(frozenset(), 0.0)
+    assert limits.rooms("read") == []
