Tell streamed uploads apart in the quarantine

The fingerprint of a streamed upload had no part of its body, so that one upload that crashed two upstreams blocked every other upload to the same target for ten minutes. Found by reading; a digest of the whole body is ruled out, because the upload is sent on before it has been read. The announced length and the caller's Content-Digest now belong to the fingerprint. Uploads of equal length without a digest still share one.

--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -111,8 +111,15 @@
         return [(b"Transfer-Encoding", b"chunked")]
 
     def body_digest(self) -> bytes:
-        """Return a digest of a held body; empty for a streamed one."""
-        return hashlib.sha256(self.body).digest() if self.body else b""
+        """Return a digest of a held body, or what is known of a streamed one.
+
+        Without the announced length and digest, one upload that crashes
+        upstreams would block all other uploads to the same target.
+        """
+        if self.body is not None:
+            return hashlib.sha256(self.body).digest() if self.body else b""
+        length = str(self.req.content_length).encode()
+        return length + b"/" + self.req.header.get(b"content-digest", b"")
 
 
 def unix_ms_after(seconds: float) -> int:
