Count attempts of relayed requests once, at the sender's budget

In a brown-out with relays between regions, upstreams counted 891 attempts for 806 requests, above 1.1 times. A relayed request earned retries at both hosts and was retried by both, and a relay whose upstream refused was followed by another attempt without the budget. Retries by callers (they made one attempt each) and the budget's own arithmetic (its unit tests pass) were ruled out. A relayed request is now retried by its sender only, and a refusal by an upstream always takes from the budget.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -170,7 +170,8 @@
     async def run(self, job: Job) -> Received:
         """Dispatch the job until it is answered or must not be tried again."""
         budget = self._retries.setdefault(job.service.name, RetryBudget())
-        budget.note_request(self._reactor.seconds())
+        if job.relay_allowed:
+            budget.note_request(self._reactor.seconds())
         last: Received | None = None
         waited = False
         while True:
@@ -194,6 +195,10 @@
         self, job: Job, last: Received, place: Place | PeerPlace, budget: RetryBudget
     ) -> bool:
         """Tell whether the job may be tried again after this result."""
+        if not job.relay_allowed:
+            # Only the host that the caller chose retries: a relayed request
+            # would otherwise earn and spend retries at two hosts.
+            return False
         now = self._reactor.seconds()
         if now >= job.deadline or job.attempts >= MAX_ATTEMPTS:
             return False
@@ -204,8 +209,13 @@
             last.err_value, job.service.idempotent, job.req.answered, job.replayable
         ):
             return False
-        # A relay that refused cost no upstream anything.
-        if isinstance(place, PeerPlace) and job.life.outcome() is Outcome.DID_NOT_RUN:
+        # A peer that refused, not its upstream, cost no upstream anything.
+        refused_by_peer = (
+            isinstance(place, PeerPlace)
+            and job.life.outcome() is Outcome.DID_NOT_RUN
+            and last != Err(ErrorKind.UPSTREAM_REFUSED)
+        )
+        if refused_by_peer:
             return True
         if not budget.take(now):
             return False
