--- /dev/null
+++ b/tests/integration/test_measurements.py
@@ -0,0 +1,203 @@
+"""Misleading measurements, brown-outs and cold starts.
+
+Bounds are those of the design page: better than random choice, attempts of at
+most 1.1 times the requests, and 90% goodput; a time limit is the service's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.cluster import Cluster, Data, eventually, small_manifest
+
+SEED = 20261206
+SERVICES = ("read", "write", "upload")
+UPSTREAMS = 6
+BAD = {
+    # Fails at once and reports itself idle.
+    "read-north-0": {"fail_fast": True, "health_lie": "idle"},
+    # Slow, and reports load 0 always.
+    "write-north-0": {"work_ms": 400, "health_lie": "idle"},
+    # Slow, and its reports stop.
+    "upload-north-0": {"work_ms": 400, "health_lie": "silent"},
+}
+MOST_ATTEMPTS_SHARE = 1.1  # of the requests during a brown-out
+LEAST_GOODPUT_SHARE = 0.9
+BROWN_OUT_S = 14.0
+TIMEOUT_S = 2.0
+
+
+def make_manifest(regions: dict[str, int], **options: int) -> Data:
+    """Return a manifest whose services are all idempotent."""
+    manifest = small_manifest(regions, timeout_ms=int(TIMEOUT_S * 1000), **options)
+    for service in manifest["services"]:
+        service["idempotent"] = True
+    return manifest
+
+
+def start(folder: Path, manifest: Data) -> Cluster:
+    """Return a running cluster with its upstreams behind the fault proxy."""
+    print(f"seed {SEED}")
+    cluster = Cluster(
+        folder, manifest, proxied=("upstream",), seed=SEED, track_origins=False
+    )
+    try:
+        cluster.start()
+        for host in cluster.hosts:
+            for service in SERVICES:
+                cluster.wait_lookup(host, service)
+    except BaseException:
+        cluster.close()
+        raise
+    return cluster
+
+
+@pytest.fixture
+def north(tmp_path: Path) -> Iterator[Cluster]:
+    with start(tmp_path, make_manifest({"north": 2}, upstreams=UPSTREAMS)) as running:
+        yield running
+
+
+def load(service: str, rate: float, region: str = "north", **more: object) -> Data:
+    """Return a load whose requests are tried once by their callers."""
+    query = "q={id}"
+    return dict(
+        service=service, region=region, rate=rate, attempts=1, query=query, **more
+    )
+
+
+def arrivals(cluster: Cluster) -> dict[str, int]:
+    """Return the requests that each upstream counted."""
+    rows = cluster.counts()["upstreams"].items()
+    return {name: row["arrivals"] for name, row in rows}
+
+
+def error_share(row: Data) -> float:
+    """Return the share of requests without a good answer."""
+    return float(1 - row["done"] / row["requests"])
+
+
+def test_bad_upstreams_harm_less_than_random_choice(north: Cluster) -> None:
+    """Guards against routing that trusts reports more than outcomes."""
+    for name, changes in BAD.items():
+        north.control(name, **changes)
+    direct = {}
+    for service in north.manifest["services"]:
+        # A direct caller draws an upstream at random for each request.
+        name = service["name"]
+        addresses = [upstream["address"] for upstream in service["upstreams"]]
+        plan = {"loads": [load(name, 40)], "direct": addresses, "duration_s": 10}
+        north.start_caller(f"direct-{name}", **plan)
+    for name in SERVICES:
+        direct[name] = north.result(f"direct-{name}")["services"][name]
+    before = arrivals(north)
+    north.start_caller("routed", loads=[load(s, 40) for s in SERVICES], duration_s=12)
+    routed = north.result("routed")["services"]
+    after = arrivals(north)
+    for bad in BAD:
+        service = bad.split("-")[0]
+        new = {n: after[n] - before[n] for n in after if n.startswith(service)}
+        share, errors = new[bad] / sum(new.values()), error_share(routed[service])
+        random_errors = error_share(direct[service])
+        print(
+            f"{bad}: traffic {share:.3f}, random {1 / UPSTREAMS:.3f}; errors "
+            f"{errors:.4f}, random {random_errors:.4f}; p99 "
+            f"{routed[service]['p99_ms']} ms, random {direct[service]['p99_ms']} ms"
+        )
+        assert routed[service]["wrong"] == routed[service]["lost"] == 0
+        assert share < 1 / UPSTREAMS
+        assert errors <= random_errors
+    assert error_share(routed["read"]) < 0.5 * error_share(direct["read"])
+
+
+def test_attempts_stay_within_the_budget_in_a_brown_out(tmp_path: Path) -> None:
+    """Guards against retries that multiply the load, also through relays."""
+    regions = {"north": 2, "south": 2}
+    with start(tmp_path, make_manifest(regions, upstreams=UPSTREAMS)) as cluster:
+        for name in arrivals(cluster):
+            fault = "fail_share" if name.startswith("upload") else "shed"
+            cluster.control(name, **{fault: 0.5}, work_ms=150)
+        before = arrivals(cluster)
+        # North has too few slots for its callers, so that many are relayed.
+        loads = [load("read", 130), load("write", 40), load("upload", 60)]
+        loads.append(load("write", 40, region="south"))
+        cluster.start_caller("callers", loads=loads, duration_s=BROWN_OUT_S)
+        result = cluster.result("callers")["services"]
+        after = arrivals(cluster)
+        for service, row in result.items():
+            names = [name for name in after if name.startswith(service)]
+            attempts = sum(after[name] - before[name] for name in names)
+            south = sum(after[n] - before[n] for n in names if "south" in n)
+            print(f"{service}: {attempts} attempts, {south} in the south, {row}")
+            assert row["lost"] == row["wrong"] == 0
+            assert attempts <= MOST_ATTEMPTS_SHARE * row["requests"]
+            # Without attempts nothing would be shown.
+            assert attempts >= 0.5 * row["requests"]
+
+
+def test_cold_upstream_is_ramped(tmp_path: Path) -> None:
+    """Guards against a full share of work for an upstream with an empty cache."""
+    cold = "read-north-0"
+    # With four requests in flight the cold upstream takes 1.6 s for each, with
+    # five or more it does not end in time.
+    settings = {"cold_s": 4.0, "cold_factor": 2.0, "cold_crowding": True}
+    manifest = make_manifest({"north": 2}, upstreams=4, slots=10)
+    with start(tmp_path, manifest) as north:
+        check_ramp(north, cold, settings)
+
+
+def check_ramp(north: Cluster, cold: str, settings: Data) -> None:
+    """Restart an upstream under load and compare with the bounds."""
+    north.control("*", work_ms=200)
+    north.start_caller("callers", loads=[load("read", 80)], duration_s=11)
+    eventually(lambda: arrivals(north)[cold] > 10, 5.0, "load")
+    north.control(cold, **settings, crash=True, crash_down_s=0.5)
+    result = north.result("callers")["services"]["read"]
+    ran = [
+        run
+        for runs in north.ledger().values()
+        for run in runs
+        if run["upstream"] == cold and run["state"] != "crashed"
+    ]
+    first = north.counts()["upstreams"][cold]["instance"]
+    print(f"{result}\n{len(ran)} runs at {cold}, now {first}")
+    assert first.endswith("-2"), "the upstream did not start again"
+    assert ran
+    assert not [run for run in ran if run["state"] != "done"]
+    assert result["p99_ms"] <= TIMEOUT_S * 1000
+    assert result["done"] >= LEAST_GOODPUT_SHARE * result["requests"]
+
+
+def test_region_that_takes_over_serves_its_own_callers(tmp_path: Path) -> None:
+    """Guards against a shift of traffic that overloads the region it goes to."""
+    cap = 32
+    manifest = make_manifest({"north": 2, "south": 2}, upstreams=4, slots=10, cap=cap)
+    with start(tmp_path, manifest) as cluster:
+        cluster.control("*", work_ms=200)
+        # Together they would take 36 of the 32 that the cap allows.
+        loads = {"south": load("read", 60, "south"), "north": load("read", 120)}
+        for region, each in loads.items():
+            cluster.start_caller(region, loads=[each], duration_s=10)
+        eventually(lambda: arrivals(cluster)["read-north-0"] > 50, 5.0, "load")
+        for name in arrivals(cluster):
+            if "north" in name:
+                cluster.control(name, crash=True, crash_down_s=60)
+        results = {name: cluster.result(name)["services"]["read"] for name in loads}
+        counts = cluster.counts()
+        taken = [
+            name
+            for name, runs in cluster.ledger().items()
+            if "-north-" in name and any("south" in run["upstream"] for run in runs)
+        ]
+    print(f"{results}\nsouth peak {counts['groups']['south']['peak']}, {len(taken)}")
+    assert taken, "south took over nothing"
+    assert counts["groups"]["south"]["peak"] <= cap
+    assert not any(row["over_slots"] for row in counts["upstreams"].values())
+    for row in results.values():
+        assert row["lost"] == row["wrong"] == 0
+        assert row["p99_ms"] <= TIMEOUT_S * 1000
+    south = results["south"]
+    assert south["done"] >= LEAST_GOODPUT_SHARE * south["requests"]
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -30,8 +30,10 @@
     "work_ms": 20.0,
     "cold_s": 0.0,  # time after a start in which work is slower
     "cold_factor": 5.0,
+    "cold_crowding": False,  # the factor grows with the requests in flight
     "shed": 0.0,  # share of requests refused although a slot is free
     "fail_fast": False,  # answer 500 at once
+    "fail_share": 0.0,  # share of requests answered 500 at once
     "crash_down_s": 1.0,
     "drain_refuse_after_s": 2.0,
     "health_lag_s": 0.0,  # age of the reported state
@@ -329,13 +331,16 @@
         if self.query.get("crash") == "1":
             upstream.crash()
             return "crashed"
-        if upstream.cfg["fail_fast"]:
+        fails = upstream.cfg["fail_share"]
+        if upstream.cfg["fail_fast"] or (fails and upstream.rng.random() < fails):
             await self.answer(500, b"failed")
             return "failed"
         text = self.headers.get("work-ms") or self.query.get("work_ms")
         work_s = float(text if text else upstream.cfg["work_ms"]) / 1000
         if time.time() - upstream.started < upstream.cfg["cold_s"]:
             work_s *= upstream.cfg["cold_factor"]
+            if upstream.cfg["cold_crowding"]:
+                work_s *= upstream.usage.in_flight
         left_s = self._deadline() - time.time()
         if not await self._wait(min(work_s, left_s)):
             upstream.counts["cancelled"] += not upstream.down
