--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -16,6 +16,7 @@
 from loguru import logger
 from result import Err, Ok
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from .errorcodes import ErrorKind, Outcome
 from .exchange import (
@@ -48,6 +49,10 @@
 CANCEL_NOTICE_S: Final = 0.25
 # Added to the dispatch deadline before its slot counts as free.
 DEADLINE_GRACE_S: Final = 0.05
+# A suspect waits for an idle upstream this long; at once it would often fail,
+# since a busy service seldom has an upstream with nothing in flight.
+SUSPECT_WAIT_S: Final = 1.0
+SUSPECT_RECHECK_S: Final = 0.01
 # Peers hear of a crash before the caller is answered, but not at any price.
 NOTIFY_TIMEOUT_S: Final = 0.2
 
@@ -166,11 +171,14 @@
     async def run(self, job: Job) -> Received:
         """Dispatch the job until it is answered or must not be tried again."""
         budget = self._retries.setdefault(job.service.name, RetryBudget())
-        budget.note_request(self._reactor.seconds())
+        if job.relay_allowed:
+            budget.note_request(self._reactor.seconds())
         last: Received | None = None
         waited = False
         while True:
             place = self._find_place(job, waited)
+            if isinstance(place, ErrorKind) and self._runs_trial(job):
+                place = await self._wait_for_trial(job)
             if isinstance(place, ErrorKind):
                 if place is ErrorKind.CAP_REACHED and not waited:
                     waited = True
@@ -188,6 +196,10 @@
         self, job: Job, last: Received, place: Place | PeerPlace, budget: RetryBudget
     ) -> bool:
         """Tell whether the job may be tried again after this result."""
+        if not job.relay_allowed:
+            # Only the host that the caller chose retries: a relayed request
+            # would otherwise earn and spend retries at two hosts.
+            return False
         now = self._reactor.seconds()
         if now >= job.deadline or job.attempts >= MAX_ATTEMPTS:
             return False
@@ -198,8 +210,13 @@
             last.err_value, job.service.idempotent, job.req.answered, job.replayable
         ):
             return False
-        # A relay that refused cost no upstream anything.
-        if isinstance(place, PeerPlace) and job.life.outcome() is Outcome.DID_NOT_RUN:
+        # A peer that refused, not its upstream, cost no upstream anything.
+        refused_by_peer = (
+            isinstance(place, PeerPlace)
+            and job.life.outcome() is Outcome.DID_NOT_RUN
+            and last != Err(ErrorKind.UPSTREAM_REFUSED)
+        )
+        if refused_by_peer:
             return True
         if not budget.take(now):
             return False
@@ -278,6 +295,28 @@
         shard = self.shards.get(name, "")
         return room.limit > 0 and self._keeper.may_dispatch(shard, now)
 
+    def _runs_trial(self, job: Job) -> bool:
+        """Tell whether this host is to run the job alone on an upstream."""
+        now = self._reactor.seconds()
+        verdict = self._quarantine.verdict(job.fingerprint, now)
+        if verdict not in (Verdict.ALONE, Verdict.WAIT):
+            return False
+        return (
+            not job.relay_allowed
+            or self._router.runner_of_suspect(job, now) == self._host
+        )
+
+    async def _wait_for_trial(self, job: Job) -> Place | PeerPlace | ErrorKind:
+        """Wait until an upstream is idle or another trial has ended."""
+        until = min(job.deadline, self._reactor.seconds() + SUSPECT_WAIT_S)
+        while True:
+            await deferLater(self._reactor, SUSPECT_RECHECK_S)
+            place = self._find_place(job, waited=True)
+            if not isinstance(place, ErrorKind) or not self._runs_trial(job):
+                return place
+            if self._reactor.seconds() >= until or job.req.closed:
+                return place
+
     async def _wait_for_slot(self, job: Job) -> bool:
         service = job.service.name
         # More waiting requests than slots cannot all be served in time.
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -212,3 +212,11 @@
     seen[0].respond(204, [], b"")
     assert b"Content-Length" not in transport.value()
     conn.setTimeout(None)
+
+
+def test_connection_with_bytes_after_the_answer_is_not_kept() -> None:
+    """Guards against a second copy taken for the answer to the next request."""
+    conn, transport, sink = client()
+    conn.dataReceived((HEAD + b"abcde") * 2)
+    assert (sink.data, sink.ended, sink.failed) == (b"abcde", 1, [])
+    assert transport.aborted
