Count connections to upstreams and close those of lost shards

Cause: the request path opened connections without Limits.reserve_connection, and the pool kept idle ones to upstreams whose shard was lost. Change: the pool reserves before it opens and releases 0.25 s after the close, because the upstream may accept a new connection before it notices the close. One connection for polls is counted for each owned upstream. Idle connections above the limit, which is 0 for a lost shard, are closed on the lease tick. Health connections end 2 s after the last poll. After: the pool refuses the 31st connection to an upstream that allows 30 (new unit test).

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -106,7 +106,8 @@
             self.limits,
             reactor,
         )
-        self.pool = ConnectionPool(reactor, clock)
+        self.pool = ConnectionPool(reactor, clock, self.limits)
+        self._polled: set[str] = set()  # upstreams with a connection for polls
         self.router = Router(
             cfg.host,
             cfg.region,
@@ -246,7 +247,20 @@
             now = time.monotonic()
             held = self.keeper.held(now)
             self.budgets.apply(in_force.manifest, held, now)
-            self.states.set_owned(item.name for item in self._owned_upstreams())
+            owned = {item.name for item in self._owned_upstreams()}
+            self.states.set_owned(owned)
+            self._follow_connections(owned)
+
+    def _follow_connections(self, owned: set[str]) -> None:
+        """Count one connection for polls of each owned upstream; end excess ones."""
+        for name in self._polled - owned:
+            self._polled.discard(name)
+            self.limits.release_connection(name)
+        for name in owned - self._polled:
+            if self.limits.reserve_connection(name).is_ok():
+                self._polled.add(name)
+        for name in self.limits.excess_connections():
+            self.pool.close_idle(name)
 
     def _owned_upstreams(self) -> list[Upstream]:
         in_force = self.spread.current()
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -289,13 +289,15 @@
     async def _send_to(self, job: Job, place: Place) -> Received:
         job.attempts += 1
         upstream = place.upstream
-        acquired = await self._pool.acquire(upstream.address)
+        acquired = await self._pool.acquire(upstream.address, upstream.name)
         sent_at = self._reactor.seconds()
         if isinstance(acquired, Err):
             self._free(place.slot, upstream)
-            self._note(upstream, DispatchOutcome.FAILED, sent_at)
             job.tried.add(upstream.name)
-            return Err(ErrorKind.CONNECT_FAILED)
+            unopened: ErrorKind = acquired.err_value
+            if unopened is ErrorKind.CONNECT_FAILED:
+                self._note(upstream, DispatchOutcome.FAILED, sent_at)
+            return Err(unopened)
         conn = acquired.ok_value
         refusal = self._last_check(job, upstream, sent_at)
         if refusal is not None:
--- a/samphirebend/health.py
+++ b/samphirebend/health.py
@@ -27,6 +27,7 @@
 POLL_INTERVAL_S: Final = 1.0
 # Shorter than the interval, so that polls of one upstream never overlap.
 POLL_TIMEOUT_S: Final = 0.8
+IDLE_TIMEOUT_S: Final = 2.0
 MAX_REPORT_BYTES: Final = 64 * 1024
 MAX_LIST_BYTES: Final = 16 * 1024 * 1024
 DRAINING: Final = "draining"
@@ -240,6 +241,9 @@
     make_agent: Any = Agent
     pool = make_pool(reactor)
     pool.maxPersistentPerHost = 1
+    # An upstream that is no longer polled belongs to another host, which needs
+    # the connection.
+    pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
     client = HTTPClient(make_agent(reactor, pool=pool, connectTimeout=POLL_TIMEOUT_S))
 
     async def fetch(url: str, max_bytes: int) -> Fetched:
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -27,6 +27,12 @@
 # pool makes it unlikely that a request is written to a connection being closed.
 MAX_IDLE_S: Final = 5.0
 MAX_HEADER_BYTES: Final = 32 * 1024
+# A closed connection counts against its upstream's limit for this long,
+# because the upstream may accept a new one before it notices the close.
+CLOSE_NOTICE_S: Final = 0.25
+
+
+Target = tuple[Address, str]  # the name of an upstream, empty for a relay
 
 
 class ResponseHead:
@@ -61,6 +67,14 @@
     def fail(self, kind: ErrorKind) -> None: ...
 
 
+class ConnectionCounter(TypingProtocol):
+    """The part of `Limits` that counts connections to upstreams."""
+
+    def reserve_connection(self, upstream: str) -> Result[None, ErrorKind]: ...
+
+    def release_connection(self, upstream: str) -> None: ...
+
+
 class ClientConnection(Protocol):
     """One connection to an upstream or a relay."""
 
@@ -85,6 +99,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.open = False
         self._pool.forget(self)
+        self._pool.note_closed()
         if self._sink is None:
             return
         if not self.answer_began:
@@ -218,34 +233,58 @@
 
 
 class ConnectionPool:
-    """Idle connections by address; opens new ones when none is idle."""
+    """Idle connections by target; opens new ones when none is idle.
+
+    A target is an address and the name of its upstream, which is empty for a
+    relay. Connections to upstreams are counted until they are closed.
+    """
 
-    __slots__ = ("_clock", "_idle", "_reactor", "opened")
+    __slots__ = ("_clock", "_counter", "_idle", "_reactor", "opened")
 
-    def __init__(self, reactor: Any, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Callable[[], float],
+        counter: ConnectionCounter | None = None,
+    ) -> None:
         self._reactor = reactor
         self._clock = clock
-        self._idle: dict[Address, deque[ClientConnection]] = {}
+        self._counter = counter  # None: no upstream is among the targets
+        self._idle: dict[Target, deque[ClientConnection]] = {}
         self.opened = 0  # connections opened since the start
 
-    async def acquire(self, address: Address) -> Result[ClientConnection, ErrorKind]:
-        """Return a connection for one exchange, or CONNECT_FAILED."""
-        conn = self._take_idle(address)
+    async def acquire(
+        self, address: Address, upstream: str = ""
+    ) -> Result[ClientConnection, ErrorKind]:
+        """Return a connection for one exchange, CONNECT_FAILED or a limit."""
+        target = (address, upstream)
+        conn = self._take_idle(target)
         if conn is not None:
             return Ok(conn)
+        if self._counter is not None and upstream:
+            reserved = self._counter.reserve_connection(upstream)
+            if isinstance(reserved, Err):
+                return reserved
         endpoint = TCP4ClientEndpoint(
             self._reactor, address.ip, address.port, CONNECT_TIMEOUT_S
         )
-        factory = _ClientFactory(_BoundPool(self, address))
+        factory = _ClientFactory(_BoundPool(self, target))
         try:
             opened: ClientConnection = await endpoint.connect(factory)
         except Exception:
+            self.note_closed(target)
             return Err(ErrorKind.CONNECT_FAILED)
         self.opened += 1
         return Ok(opened)
 
-    def _take_idle(self, address: Address) -> ClientConnection | None:
-        idle = self._idle.get(address)
+    def note_closed(self, target: Target) -> None:
+        """Stop counting a connection once its upstream has noticed the close."""
+        if self._counter is not None and target[1]:
+            release = self._counter.release_connection
+            self._reactor.callLater(CLOSE_NOTICE_S, release, target[1])
+
+    def _take_idle(self, target: Target) -> ClientConnection | None:
+        idle = self._idle.get(target)
         oldest_allowed = self._clock() - MAX_IDLE_S
         while idle:
             conn = idle.pop()
@@ -254,45 +293,53 @@
             conn.cancel()
         return None
 
-    def add_idle(self, address: Address, conn: ClientConnection) -> None:
-        """Keep a connection for the next exchange with its address."""
+    def add_idle(self, target: Target, conn: ClientConnection) -> None:
+        """Keep a connection for the next exchange with its target."""
         conn.idle_since = self._clock()
-        idle = self._idle.setdefault(address, deque())
+        idle = self._idle.setdefault(target, deque())
         idle.append(conn)
         while idle and idle[0].idle_since < conn.idle_since - MAX_IDLE_S:
             idle.popleft().cancel()
 
-    def drop_idle(self, address: Address, conn: ClientConnection) -> None:
+    def drop_idle(self, target: Target, conn: ClientConnection) -> None:
         """Forget a connection that was closed."""
-        idle = self._idle.get(address)
+        idle = self._idle.get(target)
         if idle is not None and conn in idle:
             idle.remove(conn)
 
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for conn in self._idle.pop(address, deque()):
-            conn.cancel()
+    def close_idle(self, upstream: str) -> None:
+        """Close the idle connections to an upstream, at whatever address."""
+        for target in list(self._idle):
+            if target[1] == upstream:
+                self._close_idle_to(target)
 
     def close_all(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
-            self.close_idle(address)
+        for target in list(self._idle):
+            self._close_idle_to(target)
+
+    def _close_idle_to(self, target: Target) -> None:
+        for conn in self._idle.pop(target, deque()):
+            conn.cancel()
 
 
 class _BoundPool:
-    """The pool as one connection sees it, bound to the connection's address."""
+    """The pool as one connection sees it, bound to the connection's target."""
 
-    __slots__ = ("_address", "_pool")
+    __slots__ = ("_pool", "_target")
 
-    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+    def __init__(self, pool: ConnectionPool, target: Target) -> None:
         self._pool = pool
-        self._address = address
+        self._target = target
 
     def put_back(self, conn: ClientConnection) -> None:
-        self._pool.add_idle(self._address, conn)
+        self._pool.add_idle(self._target, conn)
 
     def forget(self, conn: ClientConnection) -> None:
-        self._pool.drop_idle(self._address, conn)
+        self._pool.drop_idle(self._target, conn)
+
+    def note_closed(self) -> None:
+        self._pool.note_closed(self._target)
 
 
 class _ClientFactory(Factory):
--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -200,6 +200,15 @@
         _add(self._connections, upstream, -1)
         self._update_drained()
 
+    def excess_connections(self) -> list[str]:
+        """Return upstreams with more connections than this host may have now."""
+        plans = self._plans()
+        return [
+            name
+            for name, count in self._connections.items()
+            if any(count > self._connection_limit(plan, name) for plan in plans)
+        ]
+
     def rooms(self, service: str) -> list[Room]:
         """Return the usable upstreams of a service with their limits."""
         if self._active is None:
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -8,13 +8,22 @@
 from typing import Any
 
 import pytest
-from twisted.internet.testing import StringTransport
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from samphirebend.addresses import Address
 from samphirebend.errorcodes import ErrorKind
-from samphirebend.httpclient import ClientConnection, ConnectionPool, ResponseHead
+from samphirebend.httpclient import (
+    CLOSE_NOTICE_S,
+    ClientConnection,
+    ConnectionPool,
+    ResponseHead,
+)
 from samphirebend.httpserver import HttpServer, HttpServerProtocol, ServerRequest
 
+from .test_limits import make_limits
+
 
 class Transport(StringTransport):
     """In-memory transport with the calls of a TCP transport."""
@@ -68,6 +77,9 @@
         def put_back(self, conn: Any) -> None:
             """Accept the connection."""
 
+        def note_closed(self) -> None:
+            pass
+
         def forget(self, conn: Any) -> None:
             """Accept the connection."""
 
@@ -191,8 +203,34 @@
     now = [0.0]
     pool = ConnectionPool(None, lambda: now[0])
     conn, transport, _ = client()
-    address = Address("127.0.0.1", 1)
-    pool.add_idle(address, conn)
+    target = (Address("127.0.0.1", 1), "")
+    pool.add_idle(target, conn)
     now[0] = 100.0
-    assert pool._take_idle(address) is None
+    assert pool._take_idle(target) is None
     assert transport.aborted
+
+
+def test_connections_count_until_the_upstream_noticed_the_close() -> None:
+    """Guards the connection limit of an upstream against closed and idle ones."""
+    clock = MemoryReactorClock()
+    limits = make_limits()
+    pool = ConnectionPool(clock, clock.seconds, limits)
+    address = Address("127.0.0.1", 1)
+    acquired = [
+        Deferred.fromCoroutine(pool.acquire(address, "read-north-0")) for _ in range(31)
+    ]
+    assert len(clock.tcpClients) == 30
+    assert acquired[30].result == Err(ErrorKind.CAP_REACHED)
+    conn = clock.tcpClients[0][2].buildProtocol(None)
+    conn.makeConnection(Transport())
+    opened = acquired[0].result.unwrap()
+    pool.add_idle((address, "read-north-0"), opened)
+    limits.set_held(frozenset(), 0.0)
+    assert limits.excess_connections() == ["read-north-0"]
+    pool.close_idle("read-north-0")
+    assert not opened.open
+    opened.connectionLost()
+    limits.set_held(frozenset({"a", "b", "c"}), 0.0)
+    assert limits.reserve_connection("read-north-0") == Err(ErrorKind.CAP_REACHED)
+    clock.advance(CLOSE_NOTICE_S)
+    assert limits.reserve_connection("read-north-0").is_ok()
