Pace held answers and long pieces on links between regions

Cause: answers up to 256 KiB were sent to another region without asking the link budget, and longer pieces than the bucket's burst were sent in one write. Ruled out: the proxy's count (the bytes are counted as they arrive) and control traffic (4 KB/s between the idle regions). Change: answers are paced with their head, every piece is at most the burst, held bodies of relays are reserved in pieces, and uploads of callers in another region use the share for reading. Refusals are charged but do not wait.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -119,7 +119,7 @@
             clock,
             rng,
         )
-        self.relay = RelayClient(cfg.host, reactor, self.pool, self.router.pacer_to)
+        self.relay = RelayClient(cfg.host, reactor, self.pool, self.router)
         self.dispatcher = Dispatcher(
             cfg.host,
             reactor,
@@ -152,6 +152,7 @@
             self.membership,
             self.metrics,
             self.spread.is_fresh,
+            self.router.answer_pacer,
         )
         servers = [HttpServer(self.entry.handle), HttpServer(self.entry.handle_relayed)]
         self.drain = Drain(
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -341,7 +341,7 @@
         writer = PacedWriter(
             job.req.write,
             FlowGate(conn.pause, conn.resume),
-            self._router.answer_pacer(job),
+            self._router.answer_pacer(job.req),
             call_later,
         )
         receiver = AnswerReceiver(
@@ -351,7 +351,8 @@
         conn.send(job.method, job.target, headers, job.body, receiver)
         if job.body is None:
             job.body_taken = True
-            UploadPipe(job.req, conn, None, call_later, receiver.fail).start()
+            pacer = self._router.read_pacer(job.req)
+            UploadPipe(job.req, conn, pacer, call_later, receiver.fail).start()
         return receiver
 
     def _headers_of(self, job: Job) -> Callable[[ResponseHead], Headers]:
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -19,7 +19,13 @@
 
 from .dispatch import Dispatcher
 from .errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
-from .exchange import Received, StreamedAnswer
+from .exchange import (
+    HEAD_BYTES,
+    Pacer,
+    Received,
+    StreamedAnswer,
+    respond_paced,
+)
 from .httpserver import ServerRequest
 from .job import Job, answer_headers, failure_headers
 from .ledger import KeptAnswer, Ledger, LedgerEntry, RequestKey, parse_key
@@ -46,6 +52,7 @@
     """Handles requests of callers and of other hosts' relays."""
 
     __slots__ = (
+        "_answer_pacer",
         "_dispatcher",
         "_host",
         "_is_fresh",
@@ -72,6 +79,7 @@
         membership: Membership,
         metrics: Metrics,
         is_fresh: Callable[[float], bool],
+        answer_pacer: Callable[[ServerRequest], Pacer | None],
     ) -> None:
         self._host = host
         self._reactor = reactor
@@ -82,6 +90,7 @@
         self._membership = membership
         self._metrics = metrics
         self._is_fresh = is_fresh
+        self._answer_pacer = answer_pacer
         self._manifest: Manifest | None = None
         self.in_flight = 0
         self.refusing = False  # the host is about to exit
@@ -334,7 +343,12 @@
         if isinstance(answer, StreamedAnswer):
             return
         headers = answer_headers(answer.headers, job.request_id, self._host)
-        job.req.respond(answer.status, headers, answer.body)
+        pacer = self._answer_pacer(job.req)
+        if pacer is None:
+            job.req.respond(answer.status, headers, answer.body)
+            return
+        self.in_flight += 1  # the host does not stop before the last byte
+        respond_paced(job.req, answer, headers, pacer, self._reactor, self._end)
 
     def _answer_failure(
         self, job: Job, kind: ErrorKind, outcome: Outcome | None
@@ -362,6 +376,10 @@
             new_key = self._ledger.issue(self._reactor.seconds())
             headers.append((b"Next-Idempotency-Key", new_key.encode()))
         answer = ANSWERS[kind]
+        pacer = self._answer_pacer(req)
+        if pacer is not None:
+            # A refusal does not wait, but what is sent after it does.
+            pacer(HEAD_BYTES)
         req.respond(answer.status, headers, answer.text.encode())
 
 
--- a/samphirebend/exchange.py
+++ b/samphirebend/exchange.py
@@ -12,7 +12,7 @@
 import hashlib
 import math
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
@@ -24,6 +24,8 @@
 
 # Answers up to this size are checked whole before the caller gets a byte.
 HELD_ANSWER_BYTES: Final = 256 * 1024
+# Bytes of a message's head, for the pacing of small messages.
+HEAD_BYTES: Final = 512
 NO_SHARE_RECHECK_S: Final = 0.1
 HOP_HEADERS: Final = frozenset(
     (
@@ -39,8 +41,60 @@
     )
 )
 
-# Returns the seconds to wait before bytes of the given number may be sent.
-Pacer = Callable[[int], float]
+# Shares of very thin links are not split further; a head alone takes this much.
+MIN_PIECE_BYTES: Final = 512
+
+
+class Pacer(Protocol):
+    """Budget of the link over which bytes go."""
+
+    def __call__(self, size: int) -> float:
+        """Reserve bytes; return the seconds to wait, infinity if there is no share."""
+        ...
+
+    def piece_bytes(self) -> int:
+        """Return the most bytes of one call, for the bound of the link to hold."""
+        ...
+
+
+class JoinedPacer:
+    """Pacer of bytes that go over two links, in and out of the region."""
+
+    __slots__ = ("_first", "_second")
+
+    def __init__(self, first: Pacer, second: Pacer) -> None:
+        self._first = first
+        self._second = second
+
+    def __call__(self, size: int) -> float:
+        """Reserve on both links, unless one has no share."""
+        waits = [self._first(size)]
+        if not math.isinf(waits[0]):
+            waits.append(self._second(size))
+        return max(waits)
+
+    def piece_bytes(self) -> int:
+        """Return the lower bound of the two."""
+        return min(self._first.piece_bytes(), self._second.piece_bytes())
+
+
+def join_pacers(first: Pacer | None, second: Pacer | None) -> Pacer | None:
+    """Return a pacer for bytes that pass both links; None is no limit."""
+    if first is None or second is None:
+        return first or second
+    return JoinedPacer(first, second)
+
+
+def split_pieces(data: bytes, pacer: Pacer | None) -> list[bytes]:
+    """Split data into the pieces that a pacer may be asked for.
+
+    >>> split_pieces(b"abc", None)
+    [b'abc']
+    """
+    if pacer is None:
+        return [data] if data else []
+    size = max(MIN_PIECE_BYTES, pacer.piece_bytes())
+    return [data[at : at + size] for at in range(0, len(data), size)]
 
 
 class StreamedAnswer:
@@ -136,11 +190,17 @@
         if self._delayed:
             self._delayed.append(data)
             return
-        wait_s = self._pacer(len(data)) if self._pacer is not None else 0.0
-        if wait_s <= 0:
-            self._write(data)
-            return
-        self._delayed.append(data)
+        pieces = split_pieces(data, self._pacer)
+        for index, piece in enumerate(pieces):
+            wait_s = self._pacer(len(piece)) if self._pacer is not None else 0.0
+            if wait_s > 0:
+                self._delay(pieces[index:], wait_s)
+                return
+            self._write(piece)
+
+    def _delay(self, pieces: list[bytes], wait_s: float) -> None:
+        """Hold pieces back, of which the first has its bytes reserved."""
+        self._delayed.extend(pieces)
         self.gate.hold("pace")
         if math.isinf(wait_s):
             # The host has no share of the link at the moment.
@@ -172,6 +232,38 @@
             self.gate.release("pace")
 
 
+def respond_paced(
+    req: ServerRequest,
+    answer: KeptAnswer,
+    headers: Headers,
+    pacer: Pacer,
+    reactor: Any,
+    on_end: Callable[[None], None],
+) -> None:
+    """Send a held answer over a link, in pieces; call `on_end` after the last."""
+
+    def start(_head: bytes) -> None:
+        length = (b"Content-Length", str(len(answer.body)).encode())
+        req.start(answer.status, [*headers, length])
+
+    def finish() -> None:
+        req.finish()
+        on_end(None)
+
+    gate = FlowGate(lambda: None, lambda: None)
+    head = PacedWriter(start, gate, pacer, reactor.callLater)
+    rest = PacedWriter(req.write, gate, pacer, reactor.callLater)
+
+    def send_body() -> None:
+        if req.method != "HEAD":
+            rest.write(answer.body)
+        rest.after_writes(finish)
+
+    # Bytes of the head's size reserve its part of the link.
+    head.write(bytes(HEAD_BYTES))
+    head.after_writes(send_body)
+
+
 class AnswerReceiver:
     """Collects an answer and checks it; streams it on when it is large."""
 
--- a/samphirebend/relay.py
+++ b/samphirebend/relay.py
@@ -8,14 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from enum import Enum, unique
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from result import Err, Ok, Result
 
 from .errorcodes import ErrorKind, Outcome
 from .exchange import (
+    HEAD_BYTES,
+    MIN_PIECE_BYTES,
     AnswerReceiver,
     FlowGate,
     PacedWriter,
@@ -23,15 +24,14 @@
     Received,
     StreamedAnswer,
     UploadPipe,
+    join_pacers,
 )
 from .httpclient import ConnectionPool, ResponseHead
-from .httpserver import Headers
+from .httpserver import Headers, ServerRequest
 from .job import Job, answer_headers
 from .ledger import KeptAnswer
 from .manifest import Host
 
-# Bytes of a request's head, for the pacing of small requests.
-HEAD_BYTES: Final = 512
 # The peer gives up first, so that its answer still arrives in time.
 DEADLINE_MARGIN_S: Final = 0.02
 
@@ -60,22 +60,42 @@
         self.kind = kind  # None: an upstream's answer
 
 
+class LinkPacers(Protocol):
+    """The part of `Router` that is used here."""
+
+    def pacer_to(self, region: str) -> Pacer | None: ...
+
+    def answer_pacer(self, req: ServerRequest) -> Pacer | None: ...
+
+    def read_pacer(self, req: ServerRequest) -> Pacer | None: ...
+
+
+class Send:
+    """A piece of a request's body and the seconds to wait before it is sent."""
+
+    __slots__ = ("piece", "wait_s")
+
+    def __init__(self, wait_s: float, piece: bytes) -> None:
+        self.wait_s = wait_s
+        self.piece = piece
+
+
 class RelayClient:
     """Sends requests to the relays of other hosts."""
 
-    __slots__ = ("_host", "_pacer_to", "_pool", "_reactor")
+    __slots__ = ("_host", "_pool", "_reactor", "_router")
 
     def __init__(
         self,
         host: str,
         reactor: Any,
         pool: ConnectionPool,
-        pacer_to: Callable[[str], Pacer | None],
+        router: LinkPacers,
     ) -> None:
         self._host = host
         self._reactor = reactor
         self._pool = pool
-        self._pacer_to = pacer_to  # region to pacer, None within the region
+        self._router = router
 
     async def send(
         self, job: Job, peer: Host, mode: RelayMode
@@ -86,22 +106,24 @@
             return Err(ErrorKind.CONNECT_FAILED)
         conn = acquired.ok_value
         remaining_s = job.deadline - self._reactor.seconds()
-        pacer = self._pacer_to(peer.region)
-        wait_s = pacer(job_bytes(job)) if pacer is not None else 0.0
-        if wait_s + DEADLINE_MARGIN_S >= remaining_s:
+        pacer = self._router.pacer_to(peer.region)
+        sends = plan_sends(job, pacer)
+        if sends[-1].wait_s + DEADLINE_MARGIN_S >= remaining_s:
             conn.cancel()
             return Err(ErrorKind.LINK_CAP_REACHED)
         writer = PacedWriter(
             job.req.write,
             FlowGate(conn.pause, conn.resume),
-            None,
+            self._router.answer_pacer(job.req),
             self._reactor.callLater,
         )
         receiver = AnswerReceiver(
             conn, job.request_id, job.req, self._make_headers, writer
         )
         timer = self._reactor.callLater(remaining_s, self._time_out, conn, receiver)
-        self._reactor.callLater(wait_s, self._write, job, conn, mode, pacer, receiver)
+        self._reactor.callLater(
+            sends[0].wait_s, self._write, job, conn, mode, pacer, receiver, sends
+        )
         received: Received = await receiver.result
         if timer.active():
             timer.cancel()
@@ -123,6 +145,7 @@
         mode: RelayMode,
         pacer: Pacer | None,
         receiver: AnswerReceiver,
+        sends: list[Send],
     ) -> None:
         if receiver.result.called:
             return
@@ -143,13 +166,27 @@
         path = f"/v1/services/{job.service.name}{job.target}"
         if mode is RelayMode.DISPATCH:
             job.life.begin_dispatch()
-        conn.send(job.method, path, headers, job.body, receiver)
+        whole = job.body if len(sends) == 1 else None
+        conn.send(job.method, path, headers, whole, receiver)
         if job.body is None:
             job.body_taken = True
+            pacer = join_pacers(pacer, self._router.read_pacer(job.req))
             pipe = UploadPipe(
                 job.req, conn, pacer, self._reactor.callLater, receiver.fail
             )
             pipe.start()
+        elif whole is None:
+            self._write_pieces(conn, sends)
+
+    def _write_pieces(self, conn: Any, sends: list[Send]) -> None:
+        """Write a held body, each piece when its reserved time comes."""
+        first, *others = sends
+        conn.write_body(first.piece)
+        for send in others:
+            wait_s = max(0.0, send.wait_s - first.wait_s)
+            self._reactor.callLater(wait_s, conn.write_body, send.piece)
+        # Calls at the same time run in the order in which they were added.
+        self._reactor.callLater(wait_s, conn.end_body)
 
     def _peer_timeout_ms(self, job: Job) -> int:
         remaining_s = job.deadline - self._reactor.seconds() - DEADLINE_MARGIN_S
@@ -161,9 +198,18 @@
         receiver.fail(ErrorKind.UPSTREAM_TIMEOUT)
 
 
-def job_bytes(job: Job) -> int:
-    """Return the bytes that are written at once when the job is sent."""
-    return HEAD_BYTES + (len(job.body) if job.body is not None else 0)
+def plan_sends(job: Job, pacer: Pacer | None) -> list[Send]:
+    """Reserve the link for the head and a held body; return what to send when."""
+    body = job.body or b""
+    if pacer is None:
+        return [Send(0.0, body)]
+    size = max(MIN_PIECE_BYTES, pacer.piece_bytes() - HEAD_BYTES)
+    pieces = [body[at : at + size] for at in range(0, len(body), size)] or [b""]
+    heads = [HEAD_BYTES, *[0] * (len(pieces) - 1)]
+    return [
+        Send(pacer(len(piece) + head), piece)
+        for piece, head in zip(pieces, heads, strict=True)
+    ]
 
 
 def _read_answer(
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from .exchange import Pacer
+from .httpserver import ServerRequest
 from .job import Job
 from .ledger import Ledger
 from .limits import Limits
@@ -38,6 +39,33 @@
 MS_PER_S: Final = 1000.0
 
 
+class LinkPacer:
+    """Pacer of bytes to a region, or read from callers that are in it."""
+
+    __slots__ = ("_budgets", "_clock", "_reading", "_region")
+
+    def __init__(
+        self,
+        budgets: LinkBudgets,
+        region: str,
+        reading: bool,
+        clock: Callable[[], float],
+    ) -> None:
+        self._budgets = budgets
+        self._region = region
+        self._reading = reading
+        self._clock = clock
+
+    def __call__(self, size: int) -> float:
+        """Reserve the bytes; return the seconds to wait."""
+        reserve = self._budgets.read_delay if self._reading else self._budgets.delay
+        return reserve(self._region, size, self._clock())
+
+    def piece_bytes(self) -> int:
+        """Return the most bytes of one call."""
+        return self._budgets.piece_bytes(self._region, self._reading)
+
+
 class Router:
     """Answers where requests and callers should go."""
 
@@ -180,20 +208,29 @@
         """Return the pacer of sends to a region, None within the own region."""
         if region == self._region:
             return None
-        return lambda size: self._budgets.delay(region, size, self._clock())
+        return LinkPacer(self._budgets, region, False, self._clock)
 
-    def answer_pacer(self, job: Job) -> Pacer | None:
-        """Return the pacer of the answer to the job's sender."""
-        region = self.sender_region(job)
+    def answer_pacer(self, req: ServerRequest) -> Pacer | None:
+        """Return the pacer of the answer to a request's sender."""
+        region = self.sender_region(req)
         return self.pacer_to(region) if region else None
 
-    def sender_region(self, job: Job) -> str:
-        """Return the region that the request came from, empty if unknown."""
-        relay_host = job.req.text(b"relay-host")
+    def read_pacer(self, req: ServerRequest) -> Pacer | None:
+        """Return the pacer of reads from a caller; relays pace their own sends."""
+        if req.text(b"relay-host"):
+            return None
+        region = self.region_of_caller(req.peer_ip)
+        if not region or region == self._region:
+            return None
+        return LinkPacer(self._budgets, region, True, self._clock)
+
+    def sender_region(self, req: ServerRequest) -> str:
+        """Return the region that a request came from, empty if unknown."""
+        relay_host = req.text(b"relay-host")
         if relay_host and self._manifest is not None:
             configured = self._manifest.hosts.get(relay_host)
             return configured.region if configured is not None else ""
-        return self.region_of_caller(job.req.peer_ip)
+        return self.region_of_caller(req.peer_ip)
 
     def region_of_caller(self, _ip: str) -> str:
         """Return the region of a caller's address, by default the own region."""
--- /dev/null
+++ b/tests/unit/test_exchange.py
@@ -0,0 +1,149 @@
+"""Guards the pacing of bytes that leave the region, piece by piece."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from hypothesis import given, strategies as st
+from twisted.internet.task import Clock
+
+from samphirebend.exchange import (
+    FlowGate,
+    PacedWriter,
+    join_pacers,
+    respond_paced,
+)
+from samphirebend.job import Job
+from samphirebend.ledger import KeptAnswer, Ledger
+from samphirebend.limits import Limits
+from samphirebend.manifest import Service
+from samphirebend.membership import Membership
+from samphirebend.relay import plan_sends
+from samphirebend.router import LinkPacer, Router
+from samphirebend.upstreamstate import UpstreamStates
+
+from .test_links import SHARE, make_budgets
+
+
+def make_pacer(clock: Clock, reading: bool = False) -> LinkPacer:
+    budgets, _ = make_budgets(["h1"])
+    return LinkPacer(budgets, "b", reading, clock.seconds)
+
+
+def peak(sent: list[tuple[float, int]]) -> int:
+    """Return the most bytes in any one-second window."""
+    return max(
+        (sum(n for at, n in sent if start <= at < start + 1.0) for start, _ in sent),
+        default=0,
+    )
+
+
+def run(clock: Clock) -> None:
+    for _ in range(4000):
+        clock.advance(0.005)
+
+
+class CallersOfB(Router):
+    """Takes all callers for callers of the other region."""
+
+    def region_of_caller(self, _ip: str) -> str:
+        return "b"
+
+
+class FakeRequest:
+    """The part of `ServerRequest` that takes an answer."""
+
+    method = "GET"
+
+    def __init__(self, clock: Clock, headers: dict[bytes, str] | None = None) -> None:
+        self._clock = clock
+        self._headers = headers or {}
+        self.sent: list[tuple[float, int]] = []
+        self.events: list[str] = []
+        self.peer_ip = "10.0.0.1"
+        self.headers: list[Any] = []
+
+    def text(self, name: bytes) -> str | None:
+        return self._headers.get(name)
+
+    def start(self, _status: int, _headers: object) -> None:
+        self.events.append("start")
+
+    def write(self, data: bytes) -> None:
+        self.sent.append((self._clock.seconds(), len(data)))
+
+    def finish(self) -> None:
+        self.events.append("finish")
+
+
+@given(st.lists(st.integers(0, 400_000), min_size=1, max_size=12))
+def test_long_writes_stay_within_the_share(sizes: list[int]) -> None:
+    """Guards a thin link against a piece that is longer than its burst."""
+    clock = Clock()
+    sent: list[tuple[float, int]] = []
+    writer = PacedWriter(
+        lambda data: sent.append((clock.seconds(), len(data))),
+        FlowGate(lambda: None, lambda: None),
+        make_pacer(clock),
+        clock.callLater,
+    )
+    for size in sizes:
+        writer.write(bytes(size))
+    run(clock)
+    assert sum(n for _, n in sent) == sum(sizes)
+    assert peak(sent) <= SHARE
+
+
+def test_held_answers_are_paced_and_end_once() -> None:
+    """Guards the link against answers that are sent whole at once."""
+    clock = Clock()
+    pacer = make_pacer(clock)
+    requests: Any = [FakeRequest(clock) for _ in range(8)]
+    ends: list[None] = []
+    answer = KeptAnswer(200, [], bytes(250_000))
+    for req in requests:
+        respond_paced(req, answer, [], pacer, clock, ends.append)
+    run(clock)
+    assert [req.events for req in requests] == [["start", "finish"]] * 8
+    assert len(ends) == 8
+    assert peak([item for req in requests for item in req.sent]) <= SHARE
+
+
+def test_held_bodies_are_reserved_in_pieces() -> None:
+    """Guards the link against a relayed body that is sent whole at once."""
+    clock = Clock()
+    req: Any = FakeRequest(clock)
+    job = Job(req, Service("s", True, 1000, 1 << 20, []), "/", "id", 9.0)
+    job.body = random.Random(1).randbytes(900_000)
+    sends = plan_sends(job, make_pacer(clock))
+    assert b"".join(send.piece for send in sends) == job.body
+    assert peak([(send.wait_s, len(send.piece)) for send in sends]) <= SHARE
+
+
+def test_uploads_of_other_regions_callers_use_the_reading_share() -> None:
+    """Guards the share for reading, which no relay may use."""
+    clock = Clock()
+    budgets, manifest = make_budgets(["h1"])
+    router = CallersOfB(
+        "h1",
+        "a",
+        Membership("h1"),
+        Limits(),
+        UpstreamStates("a"),
+        budgets,
+        Ledger("h1", 1, 0.0),
+        clock.seconds,
+        random.Random(1),
+    )
+    router.apply(manifest)
+    caller: Any = FakeRequest(clock)
+    relayed: Any = FakeRequest(clock, {b"relay-host": "x"})
+    reading = router.read_pacer(caller)
+    assert reading is not None
+    assert reading(50_000) > 0.0
+    assert budgets.backlog("b", 0.0) == 0.0
+    assert router.read_pacer(relayed) is None
+    both = join_pacers(reading, router.pacer_to("b"))
+    assert both is not None
+    assert both.piece_bytes() == reading.piece_bytes()
