--- a/bench/routing.py
+++ b/bench/routing.py
@@ -24,6 +24,7 @@
 from typing import Final
 
 from samphirebend.addresses import Address
+from samphirebend.blocks import empty_table
 from samphirebend.manifest import Manifest, Region, Service, Upstream
 from samphirebend.retries import RetryBudget
 from samphirebend.room import Room
@@ -134,7 +135,9 @@
             ]  # fmt: skip
             services.append(Service(name, name != "ledger", 5.0, 1 << 30, upstreams))
         regions = [Region(f"r{i}", 999, []) for i in range(3)]
-        manifest = Manifest("bench", load.measure, regions, [], [], services, [])
+        manifest = Manifest(
+            "bench", load.measure, regions, [], [], services, empty_table()
+        )
         self.hosts = [
             Host(f"h{i}", region, manifest)
             for i, region in enumerate((0, 0, 0, 1, 1, 2, 2))
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -180,7 +180,7 @@
     job: Any = type("J", (), {"service": scene.manifest.services["service0"]})
     job.tried = frozenset()
     options: list[PeerOption] = scene.router._peer_options(scene.manifest, job, 0.0)
-    request = RelayRequest("service0", 1000, True, REGION, 0, 3)
+    request = RelayRequest("service0", 1000, True, REGION, 0, 3, 0, 9, 0.1)
     choose_peer(
         request,
         options,
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -329,13 +329,15 @@
     async def _send_to(self, job: Job, place: Place) -> Received:
         job.attempts += 1
         upstream = place.upstream
-        acquired = await self._pool.acquire(upstream.address)
+        acquired = await self._pool.acquire(upstream.address, upstream.name)
         sent_at = self._reactor.seconds()
         if isinstance(acquired, Err):
             self._free(place.slot, upstream)
-            self._note(upstream, DispatchOutcome.FAILED, sent_at)
             job.tried.add(upstream.name)
-            return Err(ErrorKind.CONNECT_FAILED)
+            unopened: ErrorKind = acquired.err_value
+            if unopened is ErrorKind.CONNECT_FAILED:
+                self._note(upstream, DispatchOutcome.FAILED, sent_at)
+            return Err(unopened)
         conn = acquired.ok_value
         refusal = self._last_check(job, upstream, sent_at)
         if refusal is not None:
@@ -379,7 +381,7 @@
         writer = PacedWriter(
             job.req.write,
             FlowGate(conn.pause, conn.resume),
-            self._router.answer_pacer(job),
+            self._router.answer_pacer(job.req),
             call_later,
         )
         receiver = AnswerReceiver(
@@ -389,7 +391,8 @@
         conn.send(job.method, job.target, headers, job.body, receiver)
         if job.body is None:
             job.body_taken = True
-            UploadPipe(job.req, conn, None, call_later, receiver.fail).start()
+            pacer = self._router.read_pacer(job.req)
+            UploadPipe(job.req, conn, pacer, call_later, receiver.fail).start()
         return receiver
 
     def _headers_of(self, job: Job) -> Callable[[ResponseHead], Headers]:
