Let a repeat time out without failing the first request

A repeat that waits for the first request of its key gives up at its own deadline. Its Deferred stayed in the entry's list of waiters and had been called, so that Ledger.finish raised AlreadyCalledError: the first caller was told "unknown", INTERNAL_ERROR, although its request was done, and the waiters after it were not called before their own deadlines.

Ruled out: the upstream's answer (the run was complete in the upstream's ledger) and the relay (the fault also occurs with all requests at the executor).

finish() now passes over waiters that were called already. Before: a first request of 800 ms with a repeat of 150 ms was answered INTERNAL_ERROR. After: "done" with its answer. Guarded by a unit test that failed before.

--- a/samphirebend/ledger.py
+++ b/samphirebend/ledger.py
@@ -173,7 +173,8 @@
             self._keep(entry, answer)
         waiters, entry.waiters = entry.waiters, []
         for waiter in waiters:
-            waiter.callback(None)
+            if not waiter.called:  # called: the repeat's own time was up first
+                waiter.callback(None)
 
     def size(self) -> int:
         """Return the number of keys that are remembered."""
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -88,3 +88,16 @@
     entry.waiters.append(waiter)
     ledger.finish(entry, Outcome.UNKNOWN, ErrorKind.UPSTREAM_BROKEN, None)
     assert waiter.called
+
+
+def test_a_repeat_that_gave_up_does_not_disturb_the_end() -> None:
+    ledger = Ledger("entry-1", 7, 0.0)
+    begun = ledger.begin(issue(ledger, 0.0), 1, 0.0)
+    assert isinstance(begun, Ok)
+    entry = begun.ok_value.entry
+    gave_up: Deferred[None] = Deferred()
+    waits: Deferred[None] = Deferred()
+    entry.waiters = [gave_up, waits]
+    gave_up.callback(None)
+    ledger.finish(entry, Outcome.DONE, None, None)
+    assert waits.called
