Answer a body over the limit "unknown" if the request has a key

A keyed request that ran was told "did not run", BODY_TOO_LARGE, when its caller repeated it after a manifest with a lower max_body_bytes came into force: the limit is checked before the key is looked up, and the outcome was fixed.

Ruled out: the ledger (it is not asked) and the relay (every host answers so by itself). UNKNOWN_SERVICE had the same case and was handled already.

With a key the outcome is now "unknown"; without one it stays "did not run". Before: all five hosts told "did-not-run" behind a run. After: "unknown", and "done" once the limit is raised again. Guarded by test_a_lower_body_limit_is_no_proof in tests/integration/test_at_most_once.py.

--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -153,7 +153,9 @@
             job.key = key_text
         kind = await self._take_body(job, keyed)
         if kind is not None:
-            self._refuse(req, kind, outcome_after(kind, False), request_id)
+            # The key may have run while the manifest in force had a higher limit.
+            outcome = outcome_after(kind, job.key is not None)
+            self._refuse(req, kind, outcome, request_id)
             return
         job.fingerprint = fingerprint(
             job.service.name, job.method, job.target, job.body_digest()
