--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -230,15 +230,11 @@
         settings: dict[str, Data] | None = None,
         proxied: Collection[str] = (),
         seed: int = 1,
-        track_origins: bool = True,
     ) -> None:
         """Keep the plan; `proxied` names the kinds of address behind the proxy.
 
-        They are `entry`, `relay`, `peer`, `upstream` and `table`. Without
-        `track_origins` the proxy does not look for the process behind each new
-        connection, which takes milliseconds.
+        They are `entry`, `relay`, `peer`, `upstream` and `table`.
         """
-        self.track_origins = track_origins
         self.folder = folder
         self.seed = seed
         self.proxied = frozenset(proxied)
@@ -419,7 +415,7 @@
         """Start the daemon of a host, also again after it has ended."""
         path = self.folder / f"{host}.json"
         child = self.spawn(host, "samphirebend.daemon", path)
-        if self.proxy and self.track_origins:
+        if self.proxy:
             origin = {"name": host, "region": self.settings[host]["region"]}
             http_json("POST", self.proxy, "/origins", {self.host_ips[host]: origin})
         if wait:
@@ -492,6 +488,11 @@
         status, answer = http_json("POST", self.table, "/_control", faults)
         assert status == 200, answer
 
+    def table_counts(self) -> Data:
+        """Return how often each operation of the table service was called."""
+        data: Data = http_json("GET", self.table, "/_counts")[1]
+        return data
+
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         self.children[name].send(signal.SIGKILL)
@@ -537,6 +538,24 @@
                 merged.setdefault(ledger_id, []).extend(runs)
         return merged
 
+    def held(self, hosts: Collection[str]) -> dict[str, list[str]]:
+        """Return the shards that each of the hosts holds."""
+        views = {host: self.admin(host, "/v1/status")[1] for host in hosts}
+        return {host: view.get("shards", []) for host, view in views.items()}
+
+    def wait_taken_over(self, host: str, timeout_s: float = 15.0) -> None:
+        """Wait until another host holds the shard of a host."""
+        others = [name for name in self.hosts if name != host]
+
+        def taken() -> bool:
+            return any(host in shards for shards in self.held(others).values())
+
+        eventually(taken, timeout_s, f"takeover of {host}")
+
+    def wait_runs(self, count: int, timeout_s: float = 15.0) -> None:
+        """Wait until the upstreams' ledger has so many ids."""
+        eventually(lambda: len(self.ledger()) >= count, timeout_s, f"{count} runs")
+
     def fault(self, name: str, **rule: object) -> None:
         """Set a rule of the fault proxy; without a rule, remove it."""
         http_json("POST", self.proxy, "/rules", {name: rule or None})
--- a/tests/integration/test_measurements.py
+++ b/tests/integration/test_measurements.py
@@ -41,9 +41,7 @@
 def start(folder: Path, manifest: Data) -> Cluster:
     """Return a running cluster with its upstreams behind the fault proxy."""
     print(f"seed {SEED}")
-    cluster = Cluster(
-        folder, manifest, proxied=("upstream",), seed=SEED, track_origins=False
-    )
+    cluster = Cluster(folder, manifest, proxied=("upstream",), seed=SEED)
     try:
         cluster.start()
         for host in cluster.hosts:
--- a/tests/integration/test_poison.py
+++ b/tests/integration/test_poison.py
@@ -56,9 +56,7 @@
     """Guards against retries that carry a crash from upstream to upstream."""
     print(f"seed {SEED}")
     manifest = small_manifest({"north": 2, "south": 2}, 6, slots=4, timeout_ms=3000)
-    with Cluster(
-        tmp_path, manifest, proxied=("relay", "peer"), seed=SEED, track_origins=False
-    ) as cluster:
+    with Cluster(tmp_path, manifest, proxied=("relay", "peer"), seed=SEED) as cluster:
         cluster.start()
         for host in cluster.hosts:
             for service in BODIES:
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -39,7 +39,6 @@
         manifest,
         proxied=("upstream", "relay"),
         seed=SEED,
-        track_origins=False,
     ) as cluster:
         cluster.start()
         for host in cluster.hosts:
