Tell an upstream's 504 as unknown; name foreign answers of relays

Cause: test_whole_answers saw 8 of 16,000 reads end with an upstream's own 504 told as done. A relayed request's deadline is 20 ms shorter at the peer, so that the upstream's answer at its deadline arrives before the peer's timer. How far the upstream got is not known, so that done was wrong. Damaged relay answers without an outcome were told as INTERNAL_ERROR. Ruled out: a fault of the merge (the direct case has the same code; its timer only fires first). Change: status 504 of an upstream ends the attempt as UPSTREAM_TIMEOUT; an answer of a relay without an outcome is WRONG_ANSWER.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -453,6 +453,12 @@
             self._quarantine.note_end(job.fingerprint, upstream.name)
             self._note(upstream, DispatchOutcome.REFUSED, sent_at)
             return Err(ErrorKind.UPSTREAM_REFUSED)
+        if _is_given_up(answer):
+            job.life.lose()
+            job.tried.add(upstream.name)
+            self._quarantine.note_end(job.fingerprint, upstream.name)
+            self._note(upstream, DispatchOutcome.FAILED, sent_at)
+            return Err(ErrorKind.UPSTREAM_TIMEOUT)
         job.life.answer()
         self._quarantine.note_answer(job.fingerprint, upstream.name, now)
         failed = answer is not None and answer.status >= 500
@@ -516,6 +522,14 @@
     )
 
 
+def _is_given_up(answer: KeptAnswer | StreamedAnswer | None) -> bool:
+    """Tell whether an upstream states that it stopped work at the deadline.
+
+    How far it got is not known, so that such an answer is no outcome.
+    """
+    return isinstance(answer, KeptAnswer) and answer.status == 504
+
+
 def _is_retryable_answer(job: Job, answer: KeptAnswer | StreamedAnswer) -> bool:
     """Tell whether another upstream may give a better answer."""
     return (
--- a/samphirebend/relay.py
+++ b/samphirebend/relay.py
@@ -222,5 +222,7 @@
         outcome = Outcome(outcome_text)
         kind = ErrorKind(kind_text) if kind_text else None
     except ValueError:
-        return RelayAnswer(answer, Outcome.UNKNOWN, ErrorKind.INTERNAL_ERROR)
+        # Every answer of a relay states an outcome; this one came from
+        # elsewhere.
+        return RelayAnswer(answer, Outcome.UNKNOWN, ErrorKind.WRONG_ANSWER)
     return RelayAnswer(answer, outcome, kind)
