--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -13,7 +13,6 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor, wait
-from pathlib import Path
 from typing import Any, Final
 
 import pytest
@@ -30,11 +29,11 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
-    folder: Path = tmp_path_factory.mktemp("at-most-once")
     manifest = small_manifest({"north": 3, "south": 2}, 3, 2, timeout_ms=1500)
     times = {"lease_ms": 1500, "heartbeat_ms": 250}
     settings = {host["name"]: times for host in manifest["hosts"]}
     kinds = ("relay", "upstream")
+    folder = tmp_path_factory.mktemp("once")
     with Cluster(folder, manifest, settings, kinds, SEED, origins=False) as running:
         running.start()
         settle(running)
@@ -79,8 +78,8 @@
         finally:
             conn.close()
         outcome, kind = get("Request-Outcome", ""), get("Error-Kind", "")
-        if outcome == "done" and not kind:
-            assert body == answer_body(self.name, self.name, SIZE), self.name
+        if outcome == "done" and body != answer_body(self.name, self.name, SIZE):
+            outcome = "wrong"
         return outcome, kind, get("Next-Idempotency-Key", "")
 
     def _tell(self, host: str, headers: dict[str, str]) -> str:
@@ -99,14 +98,13 @@
     def wait_running(self) -> str:
         """Wait until an upstream runs the request; return the upstream."""
         eventually(lambda: self.runs() or self.told, 5.0, f"a run of {self.name}")
-        assert self.runs(), self.told
         return str(self.runs()[0]["upstream"])
 
     def check(self, at_least: int = 0, at_most: int = 1) -> None:
         """Check the ledger, against all that was told too."""
         runs = self.runs()
         assert at_least <= len(runs) <= at_most, (self.name, runs, self.told)
-        denied = any(outcome == "did-not-run" for outcome, _ in self.told)
+        denied = "did-not-run" in dict(self.told)
         assert not (denied and runs), (self.name, runs, self.told)
 
 
@@ -145,46 +143,47 @@
     cluster: Cluster, hosts: list[str], rng: random.Random, fault: str, where: str
 ) -> None:
     """Guards against a second run by a repeat and a false "did not run"."""
-    executor, other, *_ = hosts
-    name = f"{fault}-{where}"
+    executor, name = hosts[0], f"{fault}-{where}"
     request = Registration(cluster, executor, name, rng.randrange(400, 700))
     relayed = where == "relay"  # from another host to the executor
-    first = request.send(other if relayed else executor)
+    first = request.send(hosts[relayed])
     upstream = request.wait_running()
     # Repeats that cross the faulty relay would only be told "unknown".
     meanwhile = request.send(*([executor] if relayed else hosts))
     broken, later = (f"relay:{executor}", "done") if relayed else (upstream, "unknown")
     cluster.fault("fault", listener=broken, **FAULTS[fault])
-    assert outcomes(first) == {"unknown"}, request.told
-    assert outcomes(meanwhile) == {later}, request.told
+    told = [outcomes(first), outcomes(meanwhile)]
     cluster.fault("fault")
-    assert outcomes(request.send(*hosts)) == {later}, request.told
+    told.append(outcomes(request.send(*hosts)))
     request.check(at_least=1)
+    assert told == [{"unknown"}, {later}, {later}], request.told
 
 
 def test_a_refused_key_never_runs(cluster: Cluster, hosts: list[str]) -> None:
     """Guards against a run after the caller was told "did not run"."""
     cluster.control("*", shed=1.0)
     request = Registration(cluster, hosts[0], "refused")
-    assert outcomes(request.send(hosts[1])) == {"did-not-run"}
+    told = [outcomes(request.send(hosts[1]))]
     cluster.control("*", shed=0.0)
-    assert outcomes(request.send(*hosts)) == {"did-not-run"}
+    told.append(outcomes(request.send(*hosts)))
     request.check(at_most=0)
+    assert told == [{"did-not-run"}] * 2
 
 
 def test_a_lower_body_limit_is_no_proof(cluster: Cluster, hosts: list[str]) -> None:
     """Guards against "did not run" for a request that ran under an older limit."""
     request = Registration(cluster, hosts[0], "limit")
-    assert outcomes(request.send(hosts[1])) == {"done"}
+    told = [outcomes(request.send(hosts[1]))]
     write = next(s for s in cluster.manifest["services"] if s["name"] == "write")
-    for limit, told in ((3, "unknown"), (write["max_body_bytes"], "done")):
+    for limit in (3, write["max_body_bytes"]):
         write["max_body_bytes"] = limit
         version = cluster.admin(hosts[0], "/v1/manifest")[1]["version"]
         assert cluster.commit(cluster.manifest, version, f"limit-{limit}")[0] == 200
         for host in hosts:
             cluster.wait_version(host, version + 1)
-        assert outcomes(request.send(*hosts)) == {told}
+        told.append(outcomes(request.send(*hosts)))
     request.check(at_least=1)
+    assert told == [{"done"}, {"unknown"}, {"done"}]
 
 
 def test_a_hasty_repeat_spoils_no_answer(cluster: Cluster, hosts: list[str]) -> None:
@@ -194,9 +193,9 @@
     request.wait_running()
     hasty = request.send(*hosts, **{"Request-Timeout-Ms": "150"})
     patient = request.send(*hosts)
-    assert outcomes(hasty) == {"unknown"}
-    assert outcomes(first + patient) == {"done"}, request.told
+    told = [outcomes(hasty), outcomes(first + patient)]
     request.check(at_least=1)
+    assert told == [{"unknown"}, {"done"}], request.told
 
 
 def test_answers_out_of_order(cluster: Cluster, hosts: list[str]) -> None:
@@ -204,10 +203,11 @@
     works = (600, 500, 400, 300, 200)
     all_of = [Registration(cluster, hosts[0], f"order-{w}", w) for w in works]
     futures = [future for request in all_of for future in request.send(*hosts)]
-    assert outcomes(futures) == {"done"}, [request.told for request in all_of]
+    told = outcomes(futures)
     for request in all_of:
-        assert outcomes(request.send(*hosts)) == {"done"}
+        told |= outcomes(request.send(*hosts))
         request.check(at_least=1)
+    assert told == {"done"}, [request.told for request in all_of]
 
 
 def test_executor_killed_after_the_write(
@@ -220,19 +220,20 @@
     request.wait_running()
     cluster.table_fault(lose_answers=2)  # of the writes of the takeover
     cluster.kill(executor)
-    assert outcomes(waiting) == {"", "unknown"}, request.told
-    assert outcomes(request.send(*others)) == {"unknown"}, request.told
+    told = [outcomes(waiting), outcomes(request.send(*others))]
     cluster.wait_taken_over(executor)
-    assert outcomes(request.send(*others)) == {"unknown"}, request.told
+    told.append(outcomes(request.send(*others)))
     cluster.start_daemon(executor)
     settle(cluster)
-    assert outcomes(request.send(*hosts)) == {"unknown"}, request.told
+    told.append(outcomes(request.send(*hosts)))
     request.check(at_least=1)
+    assert told == [{"", "unknown"}, *[{"unknown"}] * 3], request.told
 
 
 def test_executor_frozen_past_its_lease(cluster: Cluster, hosts: list[str]) -> None:
     """Guards against runs by a process whose lease ended while it was frozen."""
-    executor, *others = hosts
+    executor = hosts[0]
+    mate = next(host for host in hosts[1:] if host[:5] == executor[:5])
     running = Registration(cluster, executor, "frozen", 700)
     queued = [Registration(cluster, executor, f"queued-{n}", 50) for n in range(4)]
     waiting = running.send(executor)
@@ -243,9 +244,8 @@
     cluster.wait_taken_over(executor)
     # The region's slots are filled through the new holder, so that a dispatch
     # by the former holder would exceed the slots of an upstream.
-    mates = [h for h in others if h.startswith(executor.split("-")[0])]
-    fill = [Registration(cluster, mates[0], f"fill-{n}", 1200) for n in range(6)]
-    waiting += [future for request in fill for future in request.send(mates[0])]
+    fill = [Registration(cluster, mate, f"fill-{n}", 1200) for n in range(6)]
+    waiting += [future for request in fill for future in request.send(mate)]
     eventually(lambda: any(request.runs() for request in fill), 5.0, "filled slots")
     cluster.resume(executor)
     outcomes(waiting)
@@ -279,10 +279,12 @@
     cluster.fault("random", random=0.5, faults=faults)
     cluster.start_caller("storm", **plan, seed=SEED + 1)
     size = len(cluster.ledger())
-    steps = [(40, cluster.kill, killed), (80, cluster.freeze, frozen)]
-    for more, act, host in [*steps, (120, cluster.resume, frozen)]:
-        cluster.wait_runs(size + more)
-        act(host)
+    cluster.wait_runs(size + 40)
+    cluster.kill(killed)
+    cluster.wait_runs(size + 80)
+    cluster.freeze(frozen)
+    cluster.wait_runs(size + 120)
+    cluster.resume(frozen)
     storm = cluster.result("storm")["services"]["write"]
     cluster.fault("random")
     assert time.monotonic() - down_at > OUTAGE_S
