Let all hosts of a region see that a removed shard is released

Cause: a host activates a version when the row of each removed shard says 'released' or its holder's heartbeat reports the version as drained; only the candidate for the shard reads the row, and the holder may release before its next heartbeat. Ruled out: drained_version, which was 3 on all hosts, and the load, since the other regions filled their slots.

--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -270,6 +270,8 @@
         for shard in sorted(self._region_shards() | self._old_shards):
             if shard not in leases and self._wants(shard, now):
                 steps.append((shard, self._acquire))
+            elif shard not in leases and self._must_look(shard, now):
+                steps.append((shard, self._look))
         steps.extend((shard, self._fence) for shard in self._witness.to_fence())
         return steps
 
@@ -325,6 +327,21 @@
         live = [name for name in self._region_shards() if self._is_live(name, now)]
         return max(live, key=lambda name: score(shard, name), default="") == self._host
 
+    def _must_look(self, shard: str, now: float) -> bool:
+        """Tell whether only the table can say that a removed shard is released.
+
+        One host of the region reads the row as a candidate for the shard; the
+        others wait for the release as well before they use its upstreams.
+        """
+        if shard in self._region_shards():
+            return False
+        if self._limits.active_version() >= self._version:
+            return False
+        return not self._applies(shard, now) and not any(
+            shard in peer.shards and now < peer.heard_at + LIVE_S
+            for peer in self._heard.values()
+        )
+
     def _update_returns(self, now: float) -> None:
         """Start to drain shards whose configured host is live again or removed."""
         for shard in self._holder.shards():
@@ -493,6 +510,10 @@
             if await self._write(shard, row.revision, attributes):
                 return
 
+    async def _look(self, shard: str) -> None:
+        """Learn whether the row of a shard says that it is released."""
+        await self._read(shard)
+
     async def _acquire(self, shard: str) -> None:
         """Create a row, take a released shard, or go on with a takeover."""
         if self._stopping:
--- a/tests/unit/test_leasekeeper.py
+++ b/tests/unit/test_leasekeeper.py
@@ -289,6 +289,22 @@
     assert set(witnesses.split("\n")) == set(smaller.hosts)
 
 
+@pytest.mark.parametrize("removed", REGIONS["north"])
+def test_every_host_uses_the_upstreams_of_a_removed_one(removed: str) -> None:
+    """Guards the hosts that are no candidates for the removed host's shard."""
+    world = World()
+    world.run(8)
+    left = [host for host in REGIONS["north"] if host != removed]
+    smaller = make_manifest(REGIONS | {"north": left})
+    for node in world.nodes.values():
+        node.apply(2, smaller)
+    # The removed host releases its shard before its next heartbeat.
+    world.clock.pump([0.1] * 5)
+    world.run(6)
+    versions = {h: world.nodes[h].limits.active_version() for h in smaller.hosts}
+    assert versions == dict.fromkeys(smaller.hosts, 2)
+
+
 @settings(max_examples=15)
 @given(st.integers(0, 2**32))
 def test_recovers_from_any_disturbance_without_overlap(seed: int) -> None:
