Decide nothing by an outdated manifest in look-ups and refusals

Cause: the freshness check stood after the choice of the service, and look-ups had none, so a host that was resumed after a freeze answered 404 for a service that the manifest in force had. Ruled out: a late fetch of the manifest; the host had the newer version within the bound, the answers came before that. Change: requests and look-ups wait for a fresh manifest first. Answers from the ledger to a repeated key stay possible on an isolated host.

--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 from loguru import logger
@@ -100,10 +100,12 @@
 
     def handle(self, req: ServerRequest) -> None:
         """Handle a caller's request."""
-        if req.target.startswith(LOOKUP_PATH):
+        if not req.target.startswith(LOOKUP_PATH):
+            self._begin(req, self._serve(req, None))
+        elif self._is_fresh(self._reactor.seconds()):
             self._lookup.answer(req)
         else:
-            self._begin(req, None)
+            self._begin(req, self._look_up_when_fresh(req))
 
     def handle_relayed(self, req: ServerRequest) -> None:
         """Handle a request that another host passes on."""
@@ -112,11 +114,11 @@
         except ValueError:
             self._refuse(req, ErrorKind.BAD_REQUEST, Outcome.DID_NOT_RUN, "")
             return
-        self._begin(req, mode)
+        self._begin(req, self._serve(req, mode))
 
-    def _begin(self, req: ServerRequest, mode: RelayMode | None) -> None:
+    def _begin(self, req: ServerRequest, work: Coroutine[Any, Any, None]) -> None:
         self.in_flight += 1
-        done = Deferred.fromCoroutine(self._serve(req, mode))
+        done = Deferred.fromCoroutine(work)
         done.addErrback(self._note_bug, req)
         done.addBoth(self._end)
 
@@ -133,13 +135,27 @@
         else:
             self._refuse(req, ErrorKind.INTERNAL_ERROR, Outcome.UNKNOWN, "")
 
+    async def _look_up_when_fresh(self, req: ServerRequest) -> None:
+        refusal = await self._transient_refusal()
+        if refusal is None:
+            self._lookup.answer(req)
+        else:
+            self._refuse(req, refusal, Outcome.DID_NOT_RUN, "")
+
     # From the request to a job.
 
     async def _serve(self, req: ServerRequest, mode: RelayMode | None) -> None:
         started = self._reactor.seconds()
         request_id = _request_id(req)
         key_text = req.text(b"idempotency-key")
+        # Checked first: after a freeze, the manifest at hand may lack the
+        # service or have other limits for it. The key of an earlier request
+        # is still looked up below, since the ledger does not go stale.
+        refusal = await self._transient_refusal()
         made = self._make_job(req, request_id, started)
+        if refusal is not None and (key_text is None or isinstance(made, ErrorKind)):
+            self._metrics.count_refusal(refusal)
+            made = refusal
         if isinstance(made, ErrorKind):
             # Another host may know the service already, and the key may be
             # executed there.
