--- a/bench/storeload.py
+++ b/bench/storeload.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import time
 from typing import Any
@@ -25,7 +26,7 @@
         if number % 8:
             read = await store.get("manifest#current")
         else:
-            row = Row(f"bench#{name}-{number}", {"holder": "h" * 16})
+            row = Row(f"bench#{os.getpid()}-{name}-{number}", {"holder": "h" * 16})
             read = await store.put(row, 0)
         assert read.is_ok(), read
 
--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -164,6 +164,8 @@
             self.metrics,
         )
         self.status = Status(self)
+        # Version and shards that the link budgets were last set for.
+        self._budgeted: tuple[int, frozenset[str]] = (0, frozenset())
         self.spread.subscribe(self._apply)
         self._register(servers)
 
@@ -248,7 +250,10 @@
         if in_force is not None:
             now = time.monotonic()
             held = self.keeper.held(now)
-            self.budgets.apply(in_force.manifest, held, now)
+            # The shares of all links take several ms with thousands of hosts.
+            if (in_force.version, held) != self._budgeted:
+                self._budgeted = (in_force.version, held)
+                self.budgets.apply(in_force.manifest, held, now)
             self.states.set_owned(item.name for item in self._owned_upstreams())
 
     def _owned_upstreams(self) -> list[Upstream]:
--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -159,6 +159,7 @@
         self._version = 0
         self._highest_version = 0  # heard from any peer
         self._manifest: Manifest | None = None
+        self._own_region_shards: frozenset[str] = frozenset()
         self._old_shards: frozenset[str] = frozenset()  # until activation
         self._stopping = False
         self._renewals = 0
@@ -189,6 +190,9 @@
         self._old_shards |= self._region_shards()
         self._version = version
         self._manifest = manifest
+        host = manifest.hosts.get(self._host)
+        shards = manifest.hosts_of(host.region) if host else []
+        self._own_region_shards = frozenset(shards)
 
     def held(self, now: float) -> frozenset[str]:
         """Return the shards whose slots may be used now."""
@@ -277,10 +281,7 @@
 
     def _region_shards(self) -> frozenset[str]:
         """Return the shards of this host's region; empty if it is not configured."""
-        if self._manifest is None or self._host not in self._manifest.hosts:
-            return frozenset()
-        region = self._manifest.hosts[self._host].region
-        return frozenset(self._manifest.hosts_of(region))
+        return self._own_region_shards
 
     def _is_live(self, host: str, now: float) -> bool:
         """Tell whether a host was heard lately and is not stopping."""
--- a/samphirebend/spread.py
+++ b/samphirebend/spread.py
@@ -37,6 +37,11 @@
 # every peer would fetch a version that this host cannot read.
 FETCH_RETRY_S: Final = 0.5
 MAX_HISTORY: Final = 20
+# Table polls of all hosts together. The table serves about two thousand reads
+# a second, and takeovers and starts of daemons need most of them.
+POLLS_PER_S: Final = 500
+# Half of the 12 s within which a change must be in force everywhere.
+MAX_POLL_S: Final = 6.0
 # Shorter texts are checked in one go, which takes at most about 15 ms.
 SLICED_CHARS: Final = 64 * 1024
 COMPRESS_CHARS: Final = 128 * 1024
@@ -148,6 +153,7 @@
         self._highest_heard = 0
         self._offers: dict[str, int] = {}  # peer to the version it reported
         self._evidence_at = -math.inf
+        self._peer_evidence_at = -math.inf  # of replies alone
         self._refused: set[int] = set()  # versions already reported as invalid
         self._subscribers: list[Callable[[InForce], None]] = []
         self._checking: set[int] = set()  # versions whose text is being checked
@@ -293,9 +299,21 @@
             self._fetch_if_behind()
         finally:
             if self._polling:
-                wait_s = self._poll_s * self._rng.uniform(0.9, 1.1)
+                wait_s = self.poll_interval_s() * self._rng.uniform(0.9, 1.1)
                 self._timer = self._reactor.callLater(wait_s, self._run_poll)
 
+    def poll_interval_s(self) -> float:
+        """Return the interval of table polls, longer with many hosts.
+
+        Versions also come with heartbeats, so the polls of all hosts together
+        may stay below a rate that the table serves. A host that no peer
+        answers keeps the short interval: the table is its only source.
+        """
+        if self._now() - self._peer_evidence_at > FRESH_S / 2:
+            return self._poll_s
+        hosts = len(self._in_force.manifest.hosts) if self._in_force else 0
+        return max(self._poll_s, min(hosts / POLLS_PER_S, MAX_POLL_S))
+
     def _hear(self, version: int) -> None:
         self._highest_heard = max(self._highest_heard, version)
 
@@ -439,6 +457,7 @@
 
     def _take_reply(self, reply: HeartbeatReply, sent_at: float, now: float) -> None:
         self._evidence_at = max(self._evidence_at, sent_at)
+        self._peer_evidence_at = max(self._peer_evidence_at, sent_at)
         self._hear_peer(reply.host, reply.manifest_version)
 
 
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from types import SimpleNamespace
 from typing import Any
 
 from hypothesis import given, settings, strategies as st
@@ -13,7 +14,13 @@
 from samphirebend.addresses import Address
 from samphirebend.options import Options
 from samphirebend.peers import PeerService
-from samphirebend.spread import CommitFault, CommitFaultKind, SpreadService
+from samphirebend.spread import (
+    SLICED_CHARS,
+    CommitFault,
+    CommitFaultKind,
+    InForce,
+    SpreadService,
+)
 from samphirebend.store import Row, StoreFault
 from samphirebend.wire import Heartbeat, HeartbeatReply, ManifestReply, ManifestRequest
 
@@ -184,3 +191,42 @@
             Deferred.fromCoroutine(scene.spread._take_body(version, BODY))
         assert scene.spread.version() == max(applied)
     assert applied == sorted(set(applied))
+
+
+def test_poll_interval_grows_with_the_hosts_only_while_peers_answer() -> None:
+    """2,900 hosts that poll each second would use up the table's reads."""
+
+    def interval_s(hosts: int, replied: bool) -> float:
+        scene = Scene()
+        names = {f"h{i}": Address("127.0.0.2", i + 1) for i in range(hosts)}
+        manifest: Any = SimpleNamespace(hosts=names)
+        scene.spread._in_force = InForce(1, manifest, "")
+        scene.clock.advance(10.0)
+        if replied:
+            scene.reply(0, sent_at=9.0)
+        return scene.spread.poll_interval_s()
+
+    assert interval_s(7, replied=True) == Options().table_poll_s
+    assert interval_s(500, replied=True) == 1.0
+    assert interval_s(2900, replied=True) == 5.8
+    assert interval_s(2900, replied=False) == 1.0
+    assert interval_s(20_000, replied=True) == 6.0
+
+
+def test_large_texts_are_checked_in_slices_and_applied_once() -> None:
+    """The loop must run during the check, and no version is checked twice."""
+    scene = Scene()
+    applied: list[int] = []
+    scene.spread.subscribe(lambda in_force: applied.append(in_force.version))
+    padded = TEXT + " " * SLICED_CHARS
+    body = zlib.compress(padded.encode())
+    scene.manifest(5, body)
+    scene.manifest(5, body)
+    for _ in range(100):
+        scene.clock.advance(0)
+    assert applied == [5]
+    assert scene.spread.version() == 5
+    scene.manifest(4, body)
+    for _ in range(100):
+        scene.clock.advance(0)
+    assert applied == [5]
