--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -245,7 +245,8 @@
         shares = cost_us(LinkBudgets(REGION, link_shares).apply, manifest, {HOST}, 0.0)
         print(
             f"leases, {hosts} hosts, {regions} regions, {hosts // regions} shards in "
-            f"the region, {silent} hosts silent: tick (10/s) {tick}, heartbeat with reply {note}, link shares "
+            f"the region, {silent} hosts silent: tick (10/s) {tick}, "
+            f"heartbeat with reply {note}, link shares "
             f"(2/s) {shares}"
         )
 
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -17,6 +17,7 @@
     def __init__(self, target: str) -> None:
         self.target = target
         self.method = "GET"
+        self.header: dict[bytes, bytes] = {}
         self.status = 0
         self.kind = b""
 
@@ -38,7 +39,7 @@
     lookup = Mock()
     parts: list[Any] = [Mock(), Mock(), Mock(), lookup, Mock(), Mock()]
     make_entry: Any = Entry
-    entry = make_entry("host", clock, *parts, lambda _: fresh)
+    entry = make_entry("host", clock, *parts, lambda _: fresh, lambda _: None)
     entry.apply(cast(Any, Mock(services={})))
     asked = Asked(target)
     entry.handle(cast(Any, asked))
