--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -47,6 +47,8 @@
 CANCEL_NOTICE_S: Final = 0.25
 # Added to the dispatch deadline before its slot counts as free.
 DEADLINE_GRACE_S: Final = 0.05
+# A peer answers with these when it has no slot for a request.
+FULL_KINDS: Final = (ErrorKind.CAP_REACHED, ErrorKind.REGION_CAP_REACHED)
 # Peers hear of a crash before the caller is answered, but not at any price.
 NOTIFY_TIMEOUT_S: Final = 0.2
 
@@ -279,6 +281,10 @@
 
     async def _wait_for_slot(self, job: Job) -> bool:
         service = job.service.name
+        # The host that relays has a queue of its own; two waits in a row take
+        # longer than a refusal may.
+        if not job.relay_allowed:
+            return False
         # More waiting requests than slots cannot all be served in time.
         if self._queue.length(service) >= self._limits.total(service):
             return False
@@ -450,6 +456,7 @@
                 job.life.lose()
             return Err(kind)
         relayed = sent.ok_value
+        self._router.note_relay_result(peer, relayed.kind not in FULL_KINDS)
         if relayed.kind is None:
             job.life.answer()
             return Ok(relayed.answer)
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -20,11 +20,12 @@
 from .limits import Limits
 from .links import LinkBudgets
 from .lookup import Candidate
-from .manifest import Manifest
+from .manifest import Host, Manifest
 from .membership import Membership, PeerView
 from .room import Room
 from .routing import (
     HEADROOM,
+    NEAR_DELAY_S,
     HostOption,
     PeerOption,
     RelayLog,
@@ -181,6 +182,11 @@
         """Record that a request goes to a peer."""
         self._relay_log.note_relay(host, service, self._clock())
 
+    def note_relay_result(self, host: Host, accepted: bool) -> None:
+        """Record whether a peer had a slot for a relayed request."""
+        if self._delay_s(self._region, host.region) > NEAR_DELAY_S:
+            self._shift.note_result(host.region, accepted, self._clock())
+
     def runner_of_suspect(self, job: Job, now: float) -> str:
         """Return the only host that may run a request suspected of crashes.
 
--- a/samphirebend/routing.py
+++ b/samphirebend/routing.py
@@ -31,6 +31,13 @@
 # The own region must have this much less free share before a small idempotent
 # request leaves it for the sake of headroom.
 REGION_MARGIN: Final = 0.25
+# Over a link of a longer delay than this, a relay that is refused takes longer
+# than the 50 ms that a refusal may take, so a refusal pauses them, and this part of
+# the region's slots must be free: a last slot is taken when the relay arrives.
+NEAR_DELAY_S: Final = 0.01
+FAR_FREE_SHARE: Final = 0.25
+FIRST_PAUSE_S: Final = 1.0
+LONGEST_PAUSE_S: Final = 8.0
 # No more relays for the sake of headroom when the link has this backlog.
 MAX_BACKLOG_S: Final = 0.02
 RELAY_LOG_S: Final = 3.0
@@ -200,11 +207,8 @@
     idempotent request, to a region whose free share is higher by a margin.
     Without one, a peer of the own region comes first, then the nearest region.
     """
-    usable = []
-    for option in options:
-        free = free_now(option, request.service, log)
-        if free > 0:
-            usable.append((option, free))
+    known = [(each, max(0, free_now(each, request.service, log))) for each in options]
+    usable = [item for item in known if item[1]]
     local = [item for item in usable if item[0].region == request.region]
     remote = [item for item in usable if item[0].region != request.region]
     if request.own_free > 0:
@@ -213,6 +217,7 @@
         return _emptier_region(request, local, remote, shift, now, rng)
     if local:
         return _draw(local, rng)
+    remote = [item for item in remote if _has_room(item[0], known)]
     if not remote:
         return None
     nearest_s = min(option.delay_s + option.backlog_s for option, _ in remote)
@@ -229,6 +234,15 @@
     return chosen if shift.take(region, now) else None
 
 
+def _has_room(option: PeerOption, known: list[tuple[PeerOption, int]]) -> bool:
+    """Tell whether a region is near or has more than the odd slot free."""
+    if option.delay_s <= NEAR_DELAY_S:
+        return True
+    items = [item for item in known if item[0].region == option.region]
+    free = sum(count for _, count in items)
+    return free >= FAR_FREE_SHARE * sum(other.total for other, _ in items)
+
+
 def _may_roam(request: RelayRequest) -> bool:
     return request.idempotent and request.size <= SMALL_BYTES
 
@@ -288,19 +302,40 @@
             ramp = self._regions[region] = _Ramp(now)
         return ramp.take(now)
 
+    def note_result(self, region: str, accepted: bool, now: float) -> None:
+        """Pause the shift to a region whose host refused for want of a slot."""
+        ramp = self._regions.get(region)
+        if ramp is not None:
+            ramp.note_result(accepted, now)
+
 
 class _Ramp:
     """Token bucket of a quarter of a second whose rate follows its use."""
 
-    __slots__ = ("_at", "_rate", "_tokens", "_used")
+    __slots__ = ("_at", "_pause_s", "_paused_until", "_rate", "_tokens", "_used")
 
     def __init__(self, now: float) -> None:
+        self._pause_s = 0.0
+        self._paused_until = now
         self._at = now
         self._rate = SHIFT_FLOOR_PER_S  # requests per second
         self._tokens = SHIFT_FLOOR_PER_S / 4
         self._used = 0.0  # moving average of requests per second
 
+    def note_result(self, accepted: bool, now: float) -> None:
+        if accepted:
+            self._pause_s /= 2
+        elif now >= self._paused_until:  # not sent before the last refusal
+            self._pause_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
+            self._paused_until = now + self._pause_s
+            self._rate = SHIFT_FLOOR_PER_S
+            self._used = 0.0
+
     def take(self, now: float) -> bool:
+        if now < self._paused_until:
+            # One request at first shows whether there is room again.
+            self._tokens, self._at = 1.0, self._paused_until
+            return False
         age_s = max(0.0, now - self._at)
         self._at = max(now, self._at)
         self._used *= math.exp(-age_s)
