--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -53,6 +53,8 @@
 # since a busy service seldom has an upstream with nothing in flight.
 SUSPECT_WAIT_S: Final = 1.0
 SUSPECT_RECHECK_S: Final = 0.01
+# A peer answers with these when it has no slot for a request.
+FULL_KINDS: Final = (ErrorKind.CAP_REACHED, ErrorKind.REGION_CAP_REACHED)
 # Peers hear of a crash before the caller is answered, but not at any price.
 NOTIFY_TIMEOUT_S: Final = 0.2
 
@@ -319,6 +321,10 @@
 
     async def _wait_for_slot(self, job: Job) -> bool:
         service = job.service.name
+        # The host that relays has a queue of its own; two waits in a row take
+        # longer than a refusal may.
+        if not job.relay_allowed:
+            return False
         # More waiting requests than slots cannot all be served in time.
         if self._queue.length(service) >= self._limits.total(service):
             return False
@@ -502,12 +508,13 @@
                 job.life.lose()
             return Err(kind)
         relayed = sent.ok_value
+        accepted = relayed.kind not in FULL_KINDS
+        self._router.note_relay_result(peer, job.service.name, accepted)
         if relayed.kind is None:
             job.life.answer()
             return Ok(relayed.answer)
         if relayed.outcome is Outcome.DID_NOT_RUN:
             job.life.refuse()
-            self._router.note_refused(place.host, job.service.name)
         else:
             job.life.lose()
         return Err(relayed.kind)
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -21,11 +21,12 @@
 from .limits import Limits
 from .links import LinkBudgets
 from .lookup import MAX_ALTERNATES, Candidate
-from .manifest import Manifest
+from .manifest import Host, Manifest
 from .membership import Membership, PeerState
 from .room import Room
 from .routing import (
     HEADROOM,
+    NEAR_DELAY_S,
     HostOption,
     PeerOption,
     RelayLog,
@@ -205,9 +206,13 @@
         """Record that a request goes to a peer."""
         self._relay_log.note_relay(host, service, self._clock())
 
-    def note_refused(self, host: str, service: str) -> None:
-        """Record that a peer refused a request for lack of a slot."""
-        self._relay_log.note_refused(host, service, self._clock())
+    def note_relay_result(self, host: Host, service: str, accepted: bool) -> None:
+        """Record whether a peer had a slot for a relayed request."""
+        now = self._clock()
+        if not accepted:
+            self._relay_log.note_refused(host.name, service, now)
+        if self._delay_s(self._region, host.region) > NEAR_DELAY_S:
+            self._shift.note_result(host.region, accepted, now)
 
     def runner_of_suspect(self, job: Job, now: float) -> str:
         """Return the only host that may run a request suspected of crashes.
--- a/samphirebend/routing.py
+++ b/samphirebend/routing.py
@@ -35,6 +35,13 @@
 # By how much the free share of a peer in the region must exceed the own one
 # before a request that could stay is relayed to it.
 NEIGHBOUR_MARGIN: Final = {"headroom": 0.1, "latency": 0.2}
+# Over a link of a longer delay than this, a relay that is refused takes longer
+# than the 50 ms that a refusal may take, so a refusal pauses them, and this part of
+# the region's slots must be free: a last slot is taken when the relay arrives.
+NEAR_DELAY_S: Final = 0.01
+FAR_FREE_SHARE: Final = 0.25
+FIRST_PAUSE_S: Final = 1.0
+LONGEST_PAUSE_S: Final = 8.0
 # No more relays for the sake of headroom when the link has this backlog.
 MAX_BACKLOG_S: Final = 0.02
 RELAY_LOG_S: Final = 3.0
@@ -337,11 +344,24 @@
         for option, free in usable
     )
     for _, host, region in costs:
-        if region == request.region or shift.take(region, now):
+        if region == request.region:
+            return host
+        if _has_room(region, every, usable) and shift.take(region, now):
             return host
     return None
 
 
+def _has_room(
+    region: str, every: list[PeerOption], usable: list[tuple[PeerOption, float]]
+) -> bool:
+    """Tell whether a region is near or has more than the odd slot free."""
+    options = [option for option in every if option.region == region]
+    if all(option.delay_s <= NEAR_DELAY_S for option in options):
+        return True
+    free = sum(count for option, count in usable if option.region == region)
+    return free >= FAR_FREE_SHARE * sum(option.total for option in options)
+
+
 def _relay_cost_s(option: PeerOption, free: float) -> float:
     travel_s = 2 * option.delay_s + option.backlog_s
     return travel_s + REFUSAL_COST_S * math.exp(-free)
@@ -436,19 +456,40 @@
             ramp = self._regions[region] = _Ramp(now)
         return ramp.take(now)
 
+    def note_result(self, region: str, accepted: bool, now: float) -> None:
+        """Pause the shift to a region whose host refused for want of a slot."""
+        ramp = self._regions.get(region)
+        if ramp is not None:
+            ramp.note_result(accepted, now)
+
 
 class _Ramp:
     """Token bucket of a quarter of a second whose rate follows its use."""
 
-    __slots__ = ("_at", "_rate", "_tokens", "_used")
+    __slots__ = ("_at", "_pause_s", "_paused_until", "_rate", "_tokens", "_used")
 
     def __init__(self, now: float) -> None:
+        self._pause_s = 0.0
+        self._paused_until = now
         self._at = now
         self._rate = SHIFT_FLOOR_PER_S  # requests per second
         self._tokens = SHIFT_FLOOR_PER_S / 4
         self._used = 0.0  # moving average of requests per second
 
+    def note_result(self, accepted: bool, now: float) -> None:
+        if accepted:
+            self._pause_s /= 2
+        elif now >= self._paused_until:  # not sent before the last refusal
+            self._pause_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._pause_s))
+            self._paused_until = now + self._pause_s
+            self._rate = SHIFT_FLOOR_PER_S
+            self._used = 0.0
+
     def take(self, now: float) -> bool:
+        if now < self._paused_until:
+            # One request at first shows whether there is room again.
+            self._tokens, self._at = 1.0, self._paused_until
+            return False
         age_s = max(0.0, now - self._at)
         self._at = max(now, self._at)
         self._used *= math.exp(-age_s)
