Test upstreams that leave, and planned stops under load

The upstream stand-in can drain without the header, and the first list of the platform stand-in is older than any lag, so that a lagging list says serving.

--- /dev/null
+++ b/tests/integration/test_planned_stop.py
@@ -0,0 +1,165 @@
+"""Guards planned stops (condition 7): nothing in flight is cut, nothing lost.
+
+The verdict comes from the callers' records and the upstreams' ledgers.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import http.client
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from samphirebend.manifest import read_manifest
+from samphirebend.shards import assign
+from tests.cluster import (
+    Cluster,
+    Data,
+    broken_conditions,
+    eventually,
+    small_manifest,
+)
+
+REGIONS = {"north": 3, "middle": 2, "south": 2}
+PART = bytes(range(256)) * 4096
+PARTS = 16
+# Time to live of look-ups and its margin, a service's time limit and its margin.
+USABLE_AGAIN_S = 15.0
+STOP_S = 2.0 + 1.0 + 12.0 + 2.0
+
+
+@pytest.fixture
+def cluster(tmp_path: Path) -> Iterator[Cluster]:
+    # Large enough for a slow upload to be half done during the whole stop.
+    manifest = small_manifest(REGIONS, upstreams=3, timeout_ms=12_000)
+    with Cluster(tmp_path, manifest, proxied=("relay", "peer", "table")) as running:
+        running.start()
+        yield running
+
+
+def start_load(cluster: Cluster, duration_s: float) -> None:
+    loads = [
+        {"service": service, "region": region, "rate": rate, "keyed": keyed, **extra}
+        for region in REGIONS
+        for service, rate, keyed, extra in (
+            ("read", 15.0, False, {"query": "work_ms=100", "size": 2000}),
+            ("write", 8.0, True, {"query": "work_ms=150"}),
+            ("upload", 1.0, False, {"body_bytes": 1_000_000}),
+        )
+    ]
+    cluster.start_caller("caller", loads=loads, duration_s=duration_s)
+
+
+def check_load(cluster: Cluster) -> Data:
+    """Fail unless every request was done and no upstream saw a cut one."""
+    result = cluster.result("caller")
+    records = cluster.records("caller")
+    assert not broken_conditions(records, cluster.ledger())
+    not_done = [record for record in records if record["outcome"] != "done"]
+    assert not not_done, not_done[:3]
+    broken = [record["id"] for record in records if "" in record["told"].values()]
+    assert not broken, broken  # connections that broke with a request on them
+    for name, row in cluster.counts()["upstreams"].items():
+        assert (row["cancelled"], row["partial_bodies"]) == (0, 0), name
+    return result
+
+
+class SlowUpload:
+    """An upload in parts, from a thread."""
+
+    def __init__(self, address: str, seconds: float) -> None:
+        self.address, self.pause_s = address, seconds / PARTS
+        self.sent = 0
+        self.status = 0
+        self.outcome = ""
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _parts(self) -> Iterator[bytes]:
+        for _ in range(PARTS):
+            yield PART
+            self.sent += 1
+            time.sleep(self.pause_s)
+
+    def _run(self) -> None:
+        conn = http.client.HTTPConnection(self.address, timeout=30)
+        headers = {"Content-Length": str(PARTS * len(PART)), "Ledger-Id": "slow"}
+        path = "/v1/services/upload/scan?size=10"
+        conn.request("PUT", path, self._parts(), headers)
+        response = conn.getresponse()
+        self.status = response.status
+        self.outcome = response.getheader("Request-Outcome", "")
+        response.read()
+        conn.close()
+
+
+def test_stop_under_load_cuts_nothing(cluster: Cluster) -> None:
+    """Guards against cut uploads and against callers with cached look-ups."""
+    start_load(cluster, 12.0)
+    upload = SlowUpload(cluster.entries["north-1"], 8.0)
+    eventually(lambda: upload.sent >= PARTS // 2, 10, "half of the upload")
+    stop_s = cluster.stop("north-1", STOP_S)
+    assert cluster.children["north-1"].process.returncode == 0
+    upload.thread.join(5)
+    assert (upload.status, upload.outcome) == (200, "done")
+    (run,) = cluster.ledger()["slow"]
+    whole = PART * PARTS
+    expected = ("done", len(whole), hashlib.sha256(whole).hexdigest())
+    assert (run["state"], run["bytes"], run["sha256"]) == expected
+    check_load(cluster)
+    print(f"drain time under load with a slow upload: {stop_s:.2f} s")
+
+
+def test_rolling_restart_loses_nothing(cluster: Cluster) -> None:
+    """Guards against losses when all hosts are replaced one after another."""
+    start_load(cluster, 50.0)
+    times = []
+    for host in cluster.hosts:
+        times.append(cluster.stop(host, STOP_S))
+        assert cluster.children[host].process.returncode == 0
+        cluster.start_daemon(host)
+        cluster.wait_active(1, 20.0)
+    print(f"drain times, rolling restart: {[round(t, 2) for t in times]} s")
+    assert cluster.children["caller"].running()  # load until the last restart
+    check_load(cluster)
+
+
+def test_stop_during_an_outage_of_the_table_loses_no_request(cluster: Cluster) -> None:
+    """Guards against losses when the leases of a stopped host cannot be released."""
+    start_load(cluster, 20.0)
+    running = [host for host in cluster.hosts if host != "north-1"]
+    slots = usable_slots(cluster, [*running, "north-1"])
+    cluster.table_fault(down=True)
+    stop_s = cluster.stop("north-1", STOP_S)
+    cluster.start_daemon("north-1")
+    cluster.wait_version("north-1", 1)
+    left = usable_slots(cluster, [*running, "north-1"])
+    cluster.table_fault(down=False)
+    back_s = eventually(
+        lambda: usable_slots(cluster, [*running, "north-1"]) == slots,
+        USABLE_AGAIN_S,
+        "all slots usable again",
+    )
+    check_load(cluster)
+    print(f"drain time {stop_s:.2f} s; {left} of {slots} slots usable, then after")
+    print(f"    the return of the table all of them in {back_s:.2f} s")
+    assert left >= slots - largest_shard(cluster)
+
+
+def usable_slots(cluster: Cluster, hosts: list[str]) -> int:
+    rows = [cluster.admin(host, "/v1/status")[1]["services"] for host in hosts]
+    return sum(row["total"] for services in rows for row in services)
+
+
+def largest_shard(cluster: Cluster) -> int:
+    per_shard: dict[str, int] = {}
+    manifest = read_manifest(msgspec.json.encode(cluster.manifest).decode()).unwrap()
+    for upstream, shard in assign(manifest).items():
+        per_shard.setdefault(shard, 0)
+        per_shard[shard] += manifest.upstreams[upstream].slots
+    return max(per_shard.values())
--- a/tests/standins/table_service.py
+++ b/tests/standins/table_service.py
@@ -118,7 +118,9 @@
     def change(self, fields: dict[str, Any]) -> None:
         for name, value in fields.items():
             if name == "endpoints":
-                self.lists.append((reactor.seconds(), value))
+                # The first list counts as older than any lag.
+                at = reactor.seconds() if self.lists[-1][1] else 0.0
+                self.lists.append((at, value))
             elif name in ("delay_ms", "down", "lose_answers", "list_lag_s"):
                 setattr(self, name, value)
             else:
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -34,6 +34,7 @@
     "fail_fast": False,  # answer 500 at once
     "crash_down_s": 1.0,
     "drain_refuse_after_s": 2.0,
+    "drain_header": True,  # a draining upstream says so in its answers
     "health_lag_s": 0.0,  # age of the reported state
     "health_lie": "",  # "pass", "idle" (load 0) or "silent" (no answer)
 }
@@ -377,7 +378,7 @@
             headers.append(("Request-Id", self.headers["request-id"]))
         if not_run:
             headers.append(("Request-Not-Run", "1"))
-        if self.upstream.drain_at:
+        if self.upstream.drain_at and self.upstream.cfg["drain_header"]:
             headers.append(("Upstream-State", "draining"))
         response = h11.Response(status_code=status, headers=headers)
         self.writer.write(self.conn.send(response) or b"")
