--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -155,6 +155,7 @@
         self._taken_at: dict[str, float] = {}
         self._returning: dict[str, float] = {}  # shard to start of its drain
         self._heard: dict[str, _Peer] = {}
+        self._listed: frozenset[str] | None = None  # by live hosts, in this tick
         self._busy: set[str] = set()  # shards with a table operation under way
         self._version = 0
         self._highest_version = 0  # heard from any peer
@@ -266,6 +267,7 @@
         """Return shards with the step that each needs, most urgent first."""
         steps: list[tuple[str, Callable[[str], Coroutine[Any, Any, None]]]] = []
         leases = self._holder.shards()
+        self._listed = None  # heartbeats may have come since the last tick
         for shard in leases:
             if self._drained(shard, now):
                 steps.append((shard, self._release))
@@ -318,14 +320,22 @@
         absent = self._unheard_for(shard, LIVE_S, now)
         if not removed and not absent:
             return False
-        if any(
-            shard in other.shards and now < other.heard_at + LIVE_S
-            for other in self._heard.values()
-        ):
+        if shard in self._listed_by_live(now):
             return False
         live = [name for name in self._region_shards() if self._is_live(name, now)]
         return max(live, key=lambda name: score(shard, name), default="") == self._host
 
+    def _listed_by_live(self, now: float) -> frozenset[str]:
+        """Return the shards that live hosts list.
+
+        Collected once a tick, because after the loss of a failure domain many
+        shards are looked for among all hosts.
+        """
+        if self._listed is None:
+            live = (p for p in self._heard.values() if now < p.heard_at + LIVE_S)
+            self._listed = frozenset(name for peer in live for name in peer.shards)
+        return self._listed
+
     def _update_returns(self, now: float) -> None:
         """Start to drain shards whose configured host is live again or removed."""
         for shard in self._holder.shards():
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -50,6 +50,7 @@
         "_limits",
         "_manifest",
         "_membership",
+        "_own_room",
         "_region",
         "_relay_log",
         "_rng",
@@ -85,6 +86,8 @@
         self._manifest: Manifest | None = None
         # Region of callers to the hosts in tiers of equal delay.
         self._tiers: dict[str, list[tuple[float, list[str]]]] = {}
+        # Service and time with the free and total slots found then.
+        self._own_room: tuple[tuple[str, float], tuple[int, int]] = (("", 0.0), (0, 0))
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
@@ -252,22 +255,22 @@
     ) -> HostOption | None:
         """Return a host as an answer, or None if it is not live."""
         if name == self._host:
-            return self._own_option(service, in_region, delay_s)
+            return self._own_option(service, in_region, delay_s, now)
         view = self._membership.peer(name)
         if view is None or view.state(now) is not PeerState.LIVE:
             return None
         free, total = view.free(service), view.total(service)
         return HostOption(name, in_region, delay_s, free, total, view.stopping)
 
-    def _own_option(self, service: str, in_region: bool, delay_s: float) -> HostOption:
-        return HostOption(
-            self._host,
-            in_region,
-            delay_s,
-            self._limits.free(service),
-            self._limits.total(service),
-            self.stopping,
-        )
+    def _own_option(
+        self, service: str, in_region: bool, delay_s: float, now: float
+    ) -> HostOption:
+        if self._own_room[0] != (service, now):
+            # The draws of one answer share the figures.
+            room = self._limits.free(service), self._limits.total(service)
+            self._own_room = ((service, now), room)
+        free, total = self._own_room[1]
+        return HostOption(self._host, in_region, delay_s, free, total, self.stopping)
 
     def _candidate(self, manifest: Manifest, name: str, now: float) -> Candidate:
         address = str(manifest.hosts[name].entry)
