--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -81,6 +81,7 @@
         "_limits",
         "_manifest",
         "_membership",
+        "_own_room",
         "_region",
         "_relay_log",
         "_rng",
@@ -116,6 +117,8 @@
         self._manifest: Manifest | None = None
         # Region of callers to the hosts in tiers of equal delay.
         self._tiers: dict[str, list[tuple[float, list[str]]]] = {}
+        # Service and time with the free and total slots found then.
+        self._own_room: tuple[tuple[str, float], tuple[int, int]] = (("", 0.0), (0, 0))
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
@@ -327,14 +330,12 @@
     def _own_option(
         self, service: str, in_region: bool, delay_s: float, now: float
     ) -> HostOption:
-        return HostOption(
-            self._host,
-            in_region,
-            delay_s,
-            self.own_free(service, now),
-            self._limits.total(service),
-            self.stopping,
-        )
+        if self._own_room[0] != (service, now):
+            # The draws of one answer share the figures.
+            room = self.own_free(service, now), self._limits.total(service)
+            self._own_room = ((service, now), room)
+        free, total = self._own_room[1]
+        return HostOption(self._host, in_region, delay_s, free, total, self.stopping)
 
     def _candidate(self, manifest: Manifest, name: str, now: float) -> Candidate:
         address = str(manifest.hosts[name].entry)
