Let large regions witness their own shards

Cause: witnesses were drawn from all hosts. The lease keeper also sorted all hosts by hash for every lease held, ten times a second.

Ruled out: any seven hosts of the region. With three failure domains, the loss of one would often take four of seven, and the rest could not vote.

Terms are kept until the next manifest.

Conclusion: a property test guards that the loss of a domain leaves a majority.

--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -161,6 +161,7 @@
         self._highest_version = 0  # heard from any peer
         self._manifest: Manifest | None = None
         self._own_region_shards: frozenset[str] = frozenset()
+        self._configured_terms: dict[str, Terms] = {}  # of the manifest in force
         self._old_shards: frozenset[str] = frozenset()  # until activation
         self._stopping = False
         self._renewals = 0
@@ -194,6 +195,7 @@
         host = manifest.hosts.get(self._host)
         shards = manifest.hosts_of(host.region) if host else []
         self._own_region_shards = frozenset(shards)
+        self._configured_terms.clear()
 
     def held(self, now: float) -> frozenset[str]:
         """Return the shards whose slots may be used now."""
@@ -357,7 +359,10 @@
         """Return the hosts that count under the manifest in force."""
         if self._manifest is None:
             return Terms(frozenset(), frozenset())
-        return Terms(frozenset(witnesses(self._manifest, shard)), self._region_shards())
+        if shard not in self._configured_terms:
+            names = frozenset(witnesses(self._manifest, shard))
+            self._configured_terms[shard] = Terms(names, self._region_shards())
+        return self._configured_terms[shard]
 
     def _terms_differ(self, shard: str) -> bool:
         return shard in self._region_shards() and (
--- a/samphirebend/shards.py
+++ b/samphirebend/shards.py
@@ -109,16 +109,45 @@
 def witnesses(manifest: Manifest, shard: str) -> list[str]:
     """Return the hosts that witness a shard's lease, its own host first.
 
+    A large region witnesses its own shards, so that a region that is split off
+    keeps its leases while some of its hosts are down. Small ones use all hosts.
     The own host is left out once the manifest no longer lists it.
     """
     own = [shard] if shard in manifest.hosts else []
-    others = sorted(
-        (name for name in manifest.hosts if name != shard),
-        key=lambda name: (-score(shard, name), name),
-    )
+    if own:
+        spread = _witnesses_in_region(manifest, shard)
+        if spread:
+            return spread
+    others = _by_score(shard, [name for name in manifest.hosts if name != shard])
     return [*own, *others[: MAX_WITNESSES - len(own)]]
 
 
+def _by_score(shard: str, names: list[str]) -> list[str]:
+    return sorted(names, key=lambda name: (-score(shard, name), name))
+
+
+def _witnesses_in_region(manifest: Manifest, shard: str) -> list[str]:
+    """Choose among the region's hosts, spread over its failure domains.
+
+    Empty if the loss of one domain would take a majority along, because the
+    rest could then neither keep a lease nor take it over.
+    """
+    hosts = manifest.hosts
+    names = [n for n in manifest.hosts_of(hosts[shard].region) if n != shard]
+    in_domain: dict[str, int] = {}
+    ranked: list[tuple[int, int, str]] = []
+    for name in [shard, *_by_score(shard, names)]:
+        domain = hosts[name].failure_domain
+        ranked.append((in_domain.get(domain, 0), len(ranked), name))
+        in_domain[domain] = in_domain.get(domain, 0) + 1
+    chosen = [name for _, _, name in sorted(ranked)[:MAX_WITNESSES]]
+    domains = [hosts[name].failure_domain for name in chosen]
+    most = max(domains.count(domain) for domain in domains)
+    if len(chosen) < MAX_WITNESSES or most > MAX_WITNESSES // 2:
+        return []
+    return chosen
+
+
 def link_shares(manifest: Manifest, region: str, other: str) -> dict[str, LinkShare]:
     """Return the link shares of a region's shards towards another region.
 
--- a/tests/unit/test_shards.py
+++ b/tests/unit/test_shards.py
@@ -6,7 +6,14 @@
 
 from hypothesis import given, strategies as st
 
-from samphirebend.shards import assign, cap_shares, link_shares, split, witnesses
+from samphirebend.shards import (
+    assign,
+    cap_shares,
+    link_shares,
+    score,
+    split,
+    witnesses,
+)
 
 from .small_manifest import REGIONS, make_manifest
 
@@ -64,3 +71,37 @@
         chosen = witnesses(make_manifest(hosts), shard)
         assert chosen[0] == shard
         assert len(set(chosen)) == len(chosen) == 7
+
+
+@given(st.lists(st.integers(0, 3), min_size=1, max_size=20))
+def test_loss_of_a_failure_domain_leaves_a_majority_of_a_regions_witnesses(
+    domains: list[int],
+) -> None:
+    """Guards takeovers and leases after the loss of a whole failure domain."""
+    names = [f"e{index}" for index in range(len(domains))]
+    manifest = make_manifest({"east": names, "west": ["w1"]})
+    for name, domain in zip(names, domains, strict=True):
+        manifest.hosts[name].failure_domain = f"d{domain}"
+    for shard in names:
+        chosen = witnesses(manifest, shard)
+        assert chosen[0] == shard
+        assert len(set(chosen)) == len(chosen) == min(7, len(names) + 1)
+        lost = Counter(manifest.hosts[name].failure_domain for name in chosen)
+        if max(lost.values()) > 3:
+            # The rest could not outvote a lost holder, so all hosts are used.
+            others = sorted(
+                set(manifest.hosts) - {shard},
+                key=lambda name, shard=shard: (-score(shard, name), name),  # type: ignore[misc]
+            )
+            assert chosen == [shard, *others][:7]
+
+
+def test_large_region_witnesses_its_own_shards() -> None:
+    """Guards the leases of a region that is split off from all others."""
+    names = [f"e{index:02d}" for index in range(83)]
+    manifest = make_manifest({"east": names, "west": ["w1", "w2"]})
+    for index, name in enumerate(names):
+        manifest.hosts[name].failure_domain = f"d{index % 3}"
+    for shard in names:
+        assert set(witnesses(manifest, shard)) < set(names)
+    assert set(witnesses(manifest, "w1")) & set(names)
