--- /dev/null
+++ b/bench/at_most_once.py
@@ -0,0 +1,261 @@
+"""Measures registrations during an outage of the table service.
+
+Compares the product, whose keys name the process that executes them, with a
+baseline that inserts a row conditionally into the table before each dispatch.
+Both run on the same stand-ins under the same load: with the table service up,
+down, and down with one host killed in the outage.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from result import Err
+from twisted.internet.defer import Deferred
+
+from samphirebend.addresses import parse_address
+from samphirebend.errorcodes import ANSWERS, ErrorKind, Outcome
+from samphirebend.exchange import AnswerReceiver, FlowGate, PacedWriter
+from samphirebend.httpclient import ConnectionPool
+from samphirebend.httpserver import HttpServer, ServerRequest
+from samphirebend.job import answer_headers, failure_headers, unix_ms_after
+from samphirebend.ledger import make_nonce
+from samphirebend.options import Options
+from samphirebend.store import Row, StoreFault, make_store
+from tests.cluster import (
+    Cluster,
+    Data,
+    broken_conditions,
+    eventually,
+    free_port,
+    http_json,
+    small_manifest,
+)
+
+RATE: Final = 60.0  # registrations per second and region
+WORK_MS: Final = 100
+TIMEOUT_MS: Final = 2000
+MAX_BODY_BYTES: Final = 1 << 20
+DURATION_S: Final = 12.0
+SCENARIOS: Final = (
+    ("table up", False, False),
+    ("table down", True, False),
+    ("table down, host killed", True, True),
+)
+COLUMNS: Final = ("requests", "done", "did_not_run", "unknown", "lost")
+
+
+class BaselineHost:
+    """An entry host that inserts a row for each request before it dispatches."""
+
+    def __init__(self, cfg: Data, reactor: Any) -> None:
+        options = Options()
+        options.table_url, options.table_name = cfg["table_url"], "requests"
+        self.cfg = cfg
+        self.reactor = reactor
+        self.store = make_store(options, reactor)
+        self.pool = ConnectionPool(reactor, time.monotonic)
+        slots = int(cfg["slots"])
+        self.free: dict[str, int] = dict.fromkeys(cfg["upstreams"], slots)
+
+    def handle(self, req: ServerRequest) -> None:
+        """Answer a look-up or serve a registration."""
+        if req.target.startswith("/v1/lookup"):
+            others = [{"host": a, "address": a} for a in self.cfg["others"]]
+            named = {"host": self.cfg["name"], "address": self.cfg["address"]}
+            answer = {**named, "ttl_ms": 2000, "alternates": others}
+            body = msgspec.json.encode({**answer, "key": make_nonce()})
+            req.respond(200, [], body)
+        else:
+            Deferred.fromCoroutine(self._serve(req))
+
+    async def _serve(self, req: ServerRequest) -> None:
+        body = await req.read_all(MAX_BODY_BYTES) if req.has_body else b""
+        key = req.text(b"idempotency-key")
+        if isinstance(body, ErrorKind) or key is None:
+            self._refuse(req, ErrorKind.BAD_REQUEST)
+            return
+        written = await self.store.put(Row(f"request#{key}", {"state": "begun"}), 0)
+        if isinstance(written, Err):
+            # A row that exists may be of a host that has died since.
+            exists = written.err_value is StoreFault.CONFLICT
+            kind = ErrorKind.EXECUTOR_GONE if exists else ErrorKind.HOST_ISOLATED
+            self._refuse(req, kind)
+            return
+        name = max(self.free, key=lambda each: self.free[each])
+        if not self.free[name]:
+            self._refuse(req, ErrorKind.CAP_REACHED)
+            return
+        self.free[name] -= 1
+        try:
+            await self._dispatch(req, body, self.cfg["upstreams"][name])
+        finally:
+            self.free[name] += 1
+
+    async def _dispatch(self, req: ServerRequest, body: bytes, address: str) -> None:
+        parsed = parse_address(address)
+        assert parsed is not None
+        acquired = await self.pool.acquire(parsed)
+        if isinstance(acquired, Err):
+            self._refuse(req, ErrorKind.CONNECT_FAILED)
+            return
+        conn = acquired.ok_value
+        request_id = req.text(b"request-id") or ""
+        deadline_ms = unix_ms_after(TIMEOUT_MS / 1000)
+        names = (b"request-id", b"ledger-id")
+        headers = [(n, req.header[n]) for n in names if n in req.header]
+        headers += [
+            (b"Host", address.encode()),
+            (b"Request-Deadline", str(deadline_ms).encode()),
+            (b"Content-Length", str(len(body)).encode()),
+        ]
+        gate = FlowGate(conn.pause, conn.resume)
+        writer = PacedWriter(req.write, gate, None, self.reactor.callLater)
+        receiver = AnswerReceiver(conn, request_id, req, lambda head: [], writer)
+        conn.send(req.method, req.target, headers, body, receiver)
+        received = await receiver.result
+        if isinstance(received, Err):
+            self._refuse(req, received.err_value)
+            return
+        answer: Any = received.ok_value
+        if any(name == b"request-not-run" for name, _ in answer.headers):
+            self._refuse(req, ErrorKind.UPSTREAM_REFUSED)
+            return
+        kept = answer_headers(answer.headers, request_id, self.cfg["name"])
+        req.respond(answer.status, kept, answer.body)
+
+    def _refuse(self, req: ServerRequest, kind: ErrorKind) -> None:
+        request_id = req.text(b"request-id") or ""
+        outcome: Outcome = ANSWERS[kind].outcome
+        headers = failure_headers(kind, outcome, request_id, self.cfg["name"])
+        req.respond(ANSWERS[kind].status, headers, b"")
+
+
+def serve(path: str) -> None:
+    """Run one baseline host until the process is killed."""
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    cfg = msgspec.json.decode(Path(path).read_bytes())
+    host = BaselineHost(cfg, reactor)
+    address = parse_address(cfg["address"])
+    assert address is not None
+    HttpServer(host.handle).listen(reactor, address)
+    reactor.run()
+
+
+def start_baseline(cluster: Cluster, name: str, addresses: dict[str, str]) -> None:
+    """Start the baseline's host of a name and wait until it answers."""
+    write = next(s for s in cluster.manifest["services"] if s["name"] == "write")
+    position, count = list(addresses).index(name), len(addresses)
+    cfg = {
+        "name": name,
+        "address": addresses[name],
+        "others": [each for other, each in addresses.items() if other != name][:3],
+        "table_url": f"http://{cluster.table}",
+        "slots": write["upstreams"][0]["slots"],
+        "upstreams": {
+            item["name"]: item["address"]
+            for item in write["upstreams"][position::count]
+        },
+    }
+    path = cluster.folder / f"{name}-baseline.json"
+    path.write_bytes(msgspec.json.encode(cfg))
+    cluster.spawn(f"baseline:{name}", "bench.at_most_once", "--serve", path)
+
+    def answers() -> bool:
+        try:
+            return http_json("GET", addresses[name], "/v1/lookup")[0] == 200
+        except OSError:
+            return False
+
+    eventually(answers, 15.0, f"{name} of the baseline answers")
+
+
+def measure(
+    cluster: Cluster, label: str, entries: list[str], down: bool, victim: str
+) -> list[str]:
+    """Run the load once, print its row and return the broken conditions."""
+    regions = [region["name"] for region in cluster.manifest["regions"]]
+    load = {"service": "write", "rate": RATE, "keyed": True}
+    load["query"] = f"work_ms={WORK_MS}"
+    loads = [{**load, "region": region} for region in regions]
+    name = label.replace(" ", "-").replace(",", "")
+    before = cluster.table_counts()
+    cluster.table_fault(down=down)
+    plan = {"loads": loads, "duration_s": DURATION_S, "attempt_timeout_s": 4}
+    seed = cluster.seed * 100 + len(cluster.children)
+    cluster.start_caller(name, entries=entries, seed=seed, **plan)
+    if victim:
+        # Not after a number of runs, because the baseline may have none.
+        time.sleep(DURATION_S / 3)
+        cluster.kill(victim)
+    row = cluster.result(name)["services"]["write"]
+    cluster.table_fault(down=False)
+    after = cluster.table_counts()
+    writes = after.get("PutItem", 0) - before.get("PutItem", 0)
+    cells = [f"{row[column]:12}" for column in COLUMNS]
+    share = (
+        f"{row['done'] / row['requests']:9.2%}{row['unknown'] / row['requests']:9.2%}"
+    )
+    times = f"{row['p50_ms']:9.1f}{row['p99_ms']:9.1f}"
+    print(f"{label:34}{''.join(cells)}{share}{times}{writes:8}", flush=True)
+    if row["kinds"]:
+        print(f"    last error kinds: {row['kinds']}", flush=True)
+    broken = broken_conditions(cluster.records(name), cluster.ledger())
+    return [text for text in broken if "lost answer" not in text]
+
+
+def run(seed: int, folder: Path) -> list[str]:
+    """Measure the product, then the baseline; return the broken conditions."""
+    manifest = small_manifest({"north": 3, "south": 2}, 5, 4, timeout_ms=TIMEOUT_MS)
+    names = [host["name"] for host in manifest["hosts"]]
+    broken = []
+    with Cluster(folder, manifest, seed=seed) as cluster:
+        cluster.start()
+        for name in names:
+            cluster.wait_lookup(name, "write")
+        print(f"seed {seed}, {DURATION_S:.0f} s each, {len(names)} hosts")
+        heads = "".join(f"{column:>12}" for column in COLUMNS)
+        ends = ("done", "unknown", "p50 ms", "p99 ms")
+        print(f"{'':34}{heads}{''.join(f'{e:>9}' for e in ends)}{'writes':>8}")
+        for label, down, kills in SCENARIOS:
+            entries = list(cluster.entries.values())
+            victim = names[1] if kills else ""
+            broken += measure(cluster, f"product, {label}", entries, down, victim)
+        for name in names:
+            cluster.kill(name)
+        addresses = {name: f"{cluster.ip}:{free_port(cluster.ip)}" for name in names}
+        for name in names:
+            start_baseline(cluster, name, addresses)
+        for label, down, kills in SCENARIOS:
+            entries = list(addresses.values())
+            victim = f"baseline:{names[1]}" if kills else ""
+            broken += measure(cluster, f"baseline, {label}", entries, down, victim)
+    return broken
+
+
+def main() -> int:
+    """Run the measurement, or one host of the baseline."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--serve", metavar="FILE", help="run one baseline host")
+    args = parser.parse_args()
+    if args.serve:
+        serve(args.serve)
+        return 0
+    with tempfile.TemporaryDirectory() as folder:
+        broken = run(args.seed, Path(folder))
+    for text in broken[:20]:
+        print(f"broken: {text}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
