Test that a valid look-up never names a closed port, and dead hosts

The planned stop test passed without the look-up wait, because the load tool moves on after a refused connection. It now asks a look-up's host until the look-up expires, and fails without the wait with a refused connection.

--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -13,9 +13,17 @@
 
 import pytest
 
-from tests.cluster import Cluster, Data, broken_conditions, small_manifest
+from tests.cluster import (
+    Cluster,
+    Data,
+    broken_conditions,
+    eventually,
+    http_json,
+    small_manifest,
+)
 
 NO_NEW_WORK_S = 5.0
+DEAD_S = 5.0  # a dead host is replaced
 OBSERVED_S = 8.0  # after the sign
 LOADED_S = 2.0  # before the sign
 WORK = {"query": "work_ms=100"}
@@ -101,3 +109,27 @@
     records = cluster.records("caller")
     assert not broken_conditions(records, cluster.ledger())
     assert {record["outcome"] for record in records} == {"done"}
+
+
+def test_dead_host_leaves_the_lookups(cluster: Cluster) -> None:
+    """Guards against look-ups that name a dead host."""
+    cluster.kill("south-0")
+    alive = [host for host in cluster.hosts if host != "south-0"]
+    gone_s = eventually(
+        lambda: not any(names(cluster, host, "south-0") for host in alive),
+        DEAD_S,
+        "the dead host named no longer",
+    )
+    print(f"the dead host was named until {gone_s:.2f} s after its death")
+
+
+def names(cluster: Cluster, asked: str, host: str) -> bool:
+    """Tell whether a host's look-ups for any region name another one."""
+    found = []
+    for region in ("north", "south"):
+        path = f"/v1/lookup?service=read&region={region}"
+        for _ in range(8):  # the prepared answers are given in turn
+            status, data = http_json("GET", cluster.entries[asked], path)
+            assert status == 200
+            found += [data["host"], *(item["host"] for item in data["alternates"])]
+    return host in found
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import http.client
+import signal
 import threading
 import time
 from collections.abc import Iterator
@@ -22,6 +23,7 @@
     Data,
     broken_conditions,
     eventually,
+    http_json,
     small_manifest,
 )
 
@@ -65,6 +67,10 @@
     assert not not_done, not_done[:3]
     broken = [record["id"] for record in records if "" in record["told"].values()]
     assert not broken, broken  # connections that broke with a request on them
+    unsent = [
+        record["id"] for record in records if "not-sent" in record["told"].values()
+    ]
+    assert not unsent, unsent  # no look-up that is still valid names a closed port
     for name, row in cluster.counts()["upstreams"].items():
         assert (row["cancelled"], row["partial_bodies"]) == (0, 0), name
     return result
@@ -99,12 +105,28 @@
         conn.close()
 
 
+def look_up(cluster: Cluster, host: str) -> tuple[str, float]:
+    """Return a host's address from a look-up that names it, and when that expires."""
+    path = "/v1/lookup?service=read&region=north"
+    while (data := http_json("GET", cluster.entries[host], path)[1])["host"] != host:
+        time.sleep(0.05)
+    return data["address"], time.monotonic() + data["ttl_ms"] / 1000
+
+
 def test_stop_under_load_cuts_nothing(cluster: Cluster) -> None:
     """Guards against cut uploads and against callers with cached look-ups."""
     start_load(cluster, 12.0)
     upload = SlowUpload(cluster.entries["north-1"], 8.0)
     eventually(lambda: upload.sent >= PARTS // 2, 10, "half of the upload")
-    stop_s = cluster.stop("north-1", STOP_S)
+    address, expires = look_up(cluster, "north-1")
+    started = time.monotonic()
+    cluster.children["north-1"].send(signal.SIGTERM)
+    statuses = set()
+    while time.monotonic() < expires:
+        statuses.add(http_json("GET", address, "/v1/services/read/a")[0])
+    assert statuses == {200}
+    cluster.children["north-1"].process.wait(STOP_S)
+    stop_s = time.monotonic() - started
     assert cluster.children["north-1"].process.returncode == 0
     upload.thread.join(5)
     assert (upload.status, upload.outcome) == (200, "done")
