Hold slots in use when the frozen host's shard is taken over

The frozen case passed in a scratch copy without the wait after a takeover, and, once requests ran longer, without the lease check. Requests now outlive the takeover, and the host is resumed after the new holder's wait.

--- a/tests/integration/test_caps.py
+++ b/tests/integration/test_caps.py
@@ -233,9 +233,10 @@
     """Guards slots against a former holder, in flight and after it is resumed."""
     # Requests outlive the lease, so that a takeover finds slots in use.
     settings = {"lease_ms": 2000}
-    rig = run_rig(tmp_path, timeout_ms=5000, settings=settings)
+    timeout_ms = 6000
+    rig = run_rig(tmp_path, timeout_ms=timeout_ms, settings=settings)
     with rig.cluster as cluster:
-        load = rig.load(rate=4, work_ms=4500, seconds=20)
+        load = rig.load(rate=8, work_ms=5500, seconds=21)
         rig.wait_in_use(USABLE_SHARE * TOTAL, 12)
         host = rig.pick("north")
         cluster.freeze(host)
@@ -246,6 +247,9 @@
             return any(host in row.get("shards", ()) for row in rows)
 
         eventually(taken, USABLE_AGAIN_S, f"shard of {host} taken over")
+        # The new holder waits for the service's timeout, then fills the slots.
+        full_at = time.time() + timeout_ms / 1000
+        eventually(lambda: time.time() > full_at, 10, "wait after the takeover")
         rig.wait_in_use(USABLE_SHARE * TOTAL, USABLE_AGAIN_S)
         cluster.resume(host)
         cluster.result(load)
