Tell a broken streamed body as unknown; let a retry end before its first byte

Cause: a malformed upload that was already on its way to an upstream was told as did-not-run; a retry after a 5xx answer that could not connect to its peer had no transition and would have ended as INTERNAL_ERROR. Both were found by reading. The test of the lagging list assumed that the first list lags too; since the first list counts as old, it now tests a change of the list. Change: the outcome follows from whether a request was begun; an answered request may lose an attempt that never began.

--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -334,9 +334,11 @@
 
     def _reject(self, exc: h11.RemoteProtocolError) -> None:
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            # A body that breaks may be on its way to an upstream already.
+            outcome = b"did-not-run" if self._req is None else b"unknown"
             headers = [
                 (b"Error-Kind", b"BAD_REQUEST"),
-                (b"Request-Outcome", b"did-not-run"),
+                (b"Request-Outcome", outcome),
                 (b"Content-Length", b"0"),
                 (b"Connection", b"close"),
             ]
--- a/samphirebend/requestlife.py
+++ b/samphirebend/requestlife.py
@@ -59,6 +59,8 @@
 _retrying.upon(RequestLife.answer).to(_answered).returns(None)
 # An idempotent request may be tried again after an answer of status 5xx.
 _answered.upon(RequestLife.begin_dispatch).to(_retrying).returns(None)
+# That attempt may end before its first byte is written.
+_answered.upon(RequestLife.lose).loop().returns(None)
 for _state, _outcome in (
     (_idle, Outcome.DID_NOT_RUN),
     (_in_flight, Outcome.UNKNOWN),
--- a/tests/integration/test_store.py
+++ b/tests/integration/test_store.py
@@ -120,4 +120,9 @@
     assert part["ports"][0]["port"] == 9
     assert part["endpoints"][0]["conditions"]["serving"] is True
     service.control(list_lag_s=60)
-    assert service.endpoint_slices()["items"] == []
+    service.control(endpoints=[entry | {"serving": False, "terminating": True}])
+    (part,) = service.endpoint_slices()["items"]
+    assert part["endpoints"][0]["conditions"]["serving"] is True
+    service.control(list_lag_s=0)
+    (part,) = service.endpoint_slices()["items"]
+    assert part["endpoints"][0]["conditions"]["serving"] is False
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -258,3 +258,17 @@
     assert limits.reserve_connection("read-north-0") == Err(ErrorKind.CAP_REACHED)
     clock.advance(CLOSE_NOTICE_S)
     assert limits.reserve_connection("read-north-0").is_ok()
+
+
+def test_broken_body_of_a_begun_request_is_not_told_as_not_run() -> None:
+    conn, transport, seen = serve()
+    conn.dataReceived(
+        b"PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    sink = Sink()
+    seen[0].receive(sink)
+    conn.dataReceived(b"3\r\nabc\r\n")
+    conn.dataReceived(b"not a chunk\r\n")
+    assert sink.data == b"abc"
+    assert b"Request-Outcome: unknown" in transport.value()
+    conn.setTimeout(None)
--- a/tests/unit/test_requestlife.py
+++ b/tests/unit/test_requestlife.py
@@ -34,3 +34,11 @@
     assert (life.outcome() is Outcome.DONE) == (
         ends[-1] == "answer" and "open" not in ends
     )
+
+
+def test_retry_after_an_answer_may_end_before_its_first_byte() -> None:
+    life = make_request_life()
+    life.begin_dispatch()
+    life.answer()
+    life.lose()
+    assert life.outcome() is Outcome.DONE
