--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -45,7 +45,7 @@
 from .router import Router
 from .shards import assign_region, link_shares
 from .spread import InForce, make_spread
-from .status import Status
+from .status import make_status
 from .store import Row, make_store
 from .upstreamstate import UpstreamStates
 from .wire import Heartbeat, ServiceLoad
@@ -83,7 +83,6 @@
         rng = random.Random()
         self._cfg = cfg
         self._reactor = reactor
-        self.region = cfg.region
         self.kernel = Kernel()
         self.metrics = Metrics()
         self.limits = Limits()
@@ -165,7 +164,6 @@
             servers,
             self.metrics,
         )
-        self.status = Status(self)
         # Version and shards that the link budgets were last set for.
         self._budgeted: tuple[int, frozenset[str]] = (0, frozenset())
         self.spread.subscribe(self._apply)
@@ -175,6 +173,8 @@
         cfg, reactor = self._cfg, self._reactor
         kernel = self.kernel
         for name, part in (
+            ("options", cfg),
+            ("metrics", self.metrics),
             ("membership", self.membership),
             ("limits", self.limits),
             ("upstream_states", self.states),
@@ -182,6 +182,7 @@
             ("ledger", self.ledger),
             ("link_budgets", self.budgets),
             ("router", self.router),
+            ("request_path", self.entry),
             ("drain", self.drain),
         ):
             kernel.register(name, part)
@@ -201,9 +202,10 @@
         kernel.register("loop_lag", LoopLag(reactor, self.metrics))
         kernel.register("relay", Server(reactor, cfg.relay_address, servers[1]))
         kernel.register("entry", Server(reactor, cfg.entry_address, servers[0]))
-        app = AdminApp(reactor, kernel, self.metrics, self.spread, self.status.as_plain)
+        status = make_status(kernel)
+        app = AdminApp(reactor, kernel, self.metrics, self.spread, status.as_plain)
         kernel.register("admin", AdminService(reactor, cfg.admin_address, app))
-        self.metrics.before_render(self.status.update_metrics)
+        self.metrics.before_render(status.update_metrics)
 
     # What peers are told, and what they tell.
 
--- a/samphirebend/status.py
+++ b/samphirebend/status.py
@@ -6,39 +6,74 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Any, Final
-
-if TYPE_CHECKING:
-    from .daemon import Daemon
+from typing import Any, Final
+
+from .drain import Drain
+from .entry import Entry
+from .kernel import Kernel
+from .leasekeeper import LeaseKeeper
+from .ledger import Ledger
+from .limits import Limits
+from .links import LinkBudgets
+from .membership import Membership
+from .metrics import Metrics
+from .options import Options
+from .spread import SpreadService
+from .store import TableStore
+from .upstreamstate import UpstreamStates
 
 # A link without backlog is free; this much of a backlog counts as full.
 FULL_BACKLOG_S: Final = 1.0
 
 
 class Status:
-    """Reads the parts of one daemon."""
-
-    __slots__ = ("_daemon",)
-
-    def __init__(self, daemon: Daemon) -> None:
-        self._daemon = daemon
+    """Reads the parts of one daemon, which it finds by name."""
+
+    __slots__ = (
+        "_budgets",
+        "_drain",
+        "_entry",
+        "_keeper",
+        "_ledger",
+        "_limits",
+        "_membership",
+        "_metrics",
+        "_region",
+        "_spread",
+        "_states",
+        "_store",
+    )
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._region = kernel.find("options", Options).region
+        self._budgets = kernel.find("link_budgets", LinkBudgets)
+        self._drain = kernel.find("drain", Drain)
+        self._entry = kernel.find("request_path", Entry)
+        self._keeper = kernel.find("leases", LeaseKeeper)
+        self._ledger = kernel.find("ledger", Ledger)
+        self._limits = kernel.find("limits", Limits)
+        self._membership = kernel.find("membership", Membership)
+        self._metrics = kernel.find("metrics", Metrics)
+        self._spread = kernel.find("spread", SpreadService)
+        self._states = kernel.find("upstream_states", UpstreamStates)
+        self._store = kernel.find("store", TableStore)
 
     def as_plain(self) -> dict[str, Any]:
         """Return the summary as plain data; ages and times in seconds."""
-        daemon, now = self._daemon, time.monotonic()
-        in_force = daemon.spread.current()
+        now = time.monotonic()
+        in_force = self._spread.current()
         return {
-            "host": daemon.ledger.host,
-            "incarnation": f"{daemon.ledger.incarnation:016x}",
-            "state": daemon.drain.state,
+            "host": self._ledger.host,
+            "incarnation": f"{self._ledger.incarnation:016x}",
+            "state": self._drain.state,
             "manifest_version": in_force.version if in_force else None,
-            "drained_version": daemon.limits.drained_version(),
-            "active_version": daemon.limits.active_version(),
-            "fresh": daemon.spread.is_fresh(now),
-            "table_age_s": _age(now, daemon.store.last_answer_at()),
-            "in_flight": daemon.entry.in_flight,
-            "keys": daemon.ledger.size(),
-            "shards": sorted(daemon.keeper.held(now)),
+            "drained_version": self._limits.drained_version(),
+            "active_version": self._limits.active_version(),
+            "fresh": self._spread.is_fresh(now),
+            "table_age_s": _age(now, self._store.last_answer_at()),
+            "in_flight": self._entry.in_flight,
+            "keys": self._ledger.size(),
+            "shards": sorted(self._keeper.held(now)),
             "hosts": self._hosts(now),
             "services": self._services(),
             "upstreams": self._upstreams(now),
@@ -54,34 +89,32 @@
                 "heard_s_ago": _age(now, view.heard_at),
                 "shards": [lease.name for lease in view.shards],
             }
-            for view in self._daemon.membership.live(now)
+            for view in self._membership.live(now)
         ]
 
     def _services(self) -> list[dict[str, Any]]:
-        daemon = self._daemon
-        in_force = daemon.spread.current()
+        in_force = self._spread.current()
         names = in_force.manifest.services if in_force else ()
         return [
             {
                 "service": name,
-                "free": daemon.limits.free(name),
-                "total": daemon.limits.total(name),
+                "free": self._limits.free(name),
+                "total": self._limits.total(name),
             }
             for name in names
         ]
 
     def _upstreams(self, now: float) -> list[dict[str, Any]]:
-        daemon = self._daemon
-        in_force = daemon.spread.current()
+        in_force = self._spread.current()
         rooms = {
             room.upstream: room
             for name in (in_force.manifest.services if in_force else ())
-            for room in daemon.limits.rooms(name)
+            for room in self._limits.rooms(name)
         }
         return [
             {
                 "upstream": name,
-                "state": daemon.states.state(name, now).value,
+                "state": self._states.state(name, now).value,
                 "in_flight": room.in_flight,
                 "limit": room.limit,
             }
@@ -95,44 +128,44 @@
         ]
 
     def _other_regions(self) -> list[str]:
-        in_force = self._daemon.spread.current()
+        in_force = self._spread.current()
         if in_force is None:
             return []
-        own = self._daemon.region
+        own = self._region
         return [name for name in in_force.manifest.regions if name != own]
 
     def _backlog_s(self, region: str, now: float) -> float:
-        return min(self._daemon.budgets.backlog(region, now), 1e9)
+        return min(self._budgets.backlog(region, now), 1e9)
 
     def update_metrics(self) -> None:
         """Set the gauges, before metrics are rendered."""
-        daemon, now = self._daemon, time.monotonic()
-        metrics = daemon.metrics
-        metrics.set_manifest_version(daemon.spread.version())
-        metrics.set_leases_held(len(daemon.keeper.held(now)))
-        metrics.set_peers_live(len(daemon.membership.live(now)))
+        now = time.monotonic()
+        metrics = self._metrics
+        metrics.set_manifest_version(self._spread.version())
+        metrics.set_leases_held(len(self._keeper.held(now)))
+        metrics.set_peers_live(len(self._membership.live(now)))
         for region in self._other_regions():
             used = min(1.0, self._backlog_s(region, now) / FULL_BACKLOG_S)
-            metrics.set_link_free(daemon.region, region, 1.0 - used)
+            metrics.set_link_free(self._region, region, 1.0 - used)
         for region, share in self._region_free(now).items():
             metrics.set_region_free(region, share)
-        metrics.set_measurement_ages(daemon.states.report_ages(now))
-        counts = daemon.store.counts
+        metrics.set_measurement_ages(self._states.report_ages(now))
+        counts = self._store.counts
         metrics.set_table_calls(
             {name: getattr(counts, name) for name in counts.__slots__}
         )
 
     def _region_free(self, now: float) -> dict[str, float]:
         """Return the free share of the slots of each region, of live hosts."""
-        in_force = self._daemon.spread.current()
+        in_force = self._spread.current()
         if in_force is None:
             return {}
         free = dict.fromkeys(in_force.manifest.regions, 0)
         total = dict(free)
         for row in self._services():
-            free[self._daemon.region] += row["free"]
-            total[self._daemon.region] += row["total"]
-        for view in self._daemon.membership.live(now):
+            free[self._region] += row["free"]
+            total[self._region] += row["total"]
+        for view in self._membership.live(now):
             host = in_force.manifest.hosts.get(view.host)
             if host is None:
                 continue
@@ -146,3 +179,8 @@
     """Return the age in seconds, None for never."""
     age_s = now - since
     return round(age_s, 3) if age_s < 1e9 else None
+
+
+def make_status(kernel: Kernel) -> Status:
+    """Return the status of a daemon whose other parts are registered."""
+    return Status(kernel)
