--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -41,6 +41,7 @@
 MS_PER_S: Final = 1000.0
 # Time that a request is taken to hold a slot before one was measured.
 DEFAULT_HELD_S: Final = 0.1
+SUMS_KEPT_S: Final = 0.05
 
 
 class LinkPacer:
@@ -87,6 +88,8 @@
         "_rng",
         "_shift",
         "_states",
+        "_sums",
+        "_sums_until",
         "_tiers",
         "stopping",
     )
@@ -119,6 +122,8 @@
         self._tiers: dict[str, list[tuple[float, list[str]]]] = {}
         # Service and time with the free and total slots found then.
         self._own_room: tuple[tuple[str, float], tuple[int, int]] = (("", 0.0), (0, 0))
+        self._sums = (0, 0)  # free and all slots of this host
+        self._sums_until = 0.0
         self.stopping = False  # look-ups no longer name this host
 
     def apply(self, manifest: Manifest) -> None:
@@ -145,6 +150,20 @@
         )
         return min(allowed, self._limits.free(service))
 
+    def _own_sums(self, manifest: Manifest, now: float) -> tuple[int, int]:
+        """Return the free and all slots of this host over all services.
+
+        Counted anew a few times per heartbeat only: peers' figures are older,
+        and the count goes over all upstreams of the host.
+        """
+        if now >= self._sums_until:
+            self._sums_until = now + SUMS_KEPT_S
+            self._sums = (
+                sum(self.own_free(name, now) for name in manifest.services),
+                sum(self._limits.total(name) for name in manifest.services),
+            )
+        return self._sums
+
     def peer_for(self, job: Job, own_free: int, now: float) -> str | None:
         """Return the peer to relay the job to, or None to keep it."""
         manifest = self._manifest
@@ -159,8 +178,7 @@
             self._region,
             own_free,
             self._limits.total(service.name),
-            sum(self.own_free(name, now) for name in manifest.services),
-            sum(self._limits.total(name) for name in manifest.services),
+            *self._own_sums(manifest, now),
             self._states.service_latency_s(service.name) or DEFAULT_HELD_S,
         )
         options = self._peer_options(manifest, job, now)
