Ramp an upstream after a broken connection until a report confirms it

Ruled out: the ramp itself (its requests stayed within the bound once the new instance was known), and a recovery from ejection before the report (the upstream was not ejected).

Change: a connection that broke without an answer or could not be opened starts a ramp, and the upstream is polled at once. A report sent after the break that shows the same instance ends the ramp; a new instance is cold as before.

Conclusion: the window between a restart and its first report was open.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -199,6 +199,7 @@
             make_fetcher(reactor),
         )
         kernel.register("health", health)
+        self.dispatcher.broken_listeners.append(health.poll)
         kernel.register("loop_lag", LoopLag(reactor, self.metrics))
         kernel.register("relay", Server(reactor, cfg.relay_address, servers[1]))
         kernel.register("entry", Server(reactor, cfg.entry_address, servers[0]))
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -131,6 +131,7 @@
         "_retries",
         "_router",
         "_states",
+        "broken_listeners",
         "shards",
     )
 
@@ -164,6 +165,8 @@
         self._retries: dict[str, RetryBudget] = {}  # by service
         self._manifest: Manifest | None = None
         self.shards: dict[str, str] = {}  # upstream to shard
+        # Called with each upstream that broke a connection or refused one.
+        self.broken_listeners: list[Callable[[Upstream], None]] = []
 
     def apply(self, manifest: Manifest, shards: dict[str, str]) -> None:
         """Follow the manifest in force."""
@@ -342,6 +345,7 @@
             job.tried.add(upstream.name)
             unopened: ErrorKind = acquired.err_value
             if unopened is ErrorKind.CONNECT_FAILED:
+                self._note_broken(upstream, sent_at)
                 self._note(upstream, DispatchOutcome.FAILED, sent_at)
             return Err(unopened)
         conn = acquired.ok_value
@@ -437,6 +441,7 @@
         if kind is not ErrorKind.UPSTREAM_BROKEN:
             self._quarantine.note_end(job.fingerprint, upstream.name)
             return received
+        self._note_broken(upstream, sent_at)
         suspects = self._quarantine.note_crash(upstream.name, now)
         logger.warning(
             "upstream broke the connection",
@@ -480,6 +485,11 @@
         now = self._reactor.seconds()
         self._states.note_outcome(upstream.name, outcome, sent_at, now)
 
+    def _note_broken(self, upstream: Upstream, sent_at: float) -> None:
+        self._states.note_broken(upstream.name, sent_at, self._reactor.seconds())
+        for listener in self.broken_listeners:
+            listener(upstream)
+
     def _free(self, slot: Slot, upstream: Upstream) -> None:
         self._limits.release(slot)
         self._queue.wake(upstream.service)
--- a/samphirebend/health.py
+++ b/samphirebend/health.py
@@ -308,10 +308,14 @@
         for pending in list(self._pending.values()):
             pending.cancel()
 
+    def poll(self, upstream: Upstream) -> None:
+        """Poll one upstream now, unless a poll of it is under way."""
+        url = f"http://{upstream.address}/health"
+        self._begin(url, MAX_REPORT_BYTES, self._take_report, upstream.name)
+
     def _tick(self) -> None:
         for upstream in self._owned():
-            url = f"http://{upstream.address}/health"
-            self._begin(url, MAX_REPORT_BYTES, self._take_report, upstream.name)
+            self.poll(upstream)
         if self._list_url:
             self._begin(self._list_url, MAX_LIST_BYTES, self._take_list, "")
 
--- a/samphirebend/upstreamstate.py
+++ b/samphirebend/upstreamstate.py
@@ -15,7 +15,9 @@
 Upstreams of the first manifest after the start of the daemon count as warm:
 they may have served other hosts or an earlier process, and a ramp over all of
 them at once would refuse work after each restart. An upstream that a later
-manifest adds, or that reports a new instance, starts cold.
+manifest adds, or that reports a new instance, starts cold. One that broke a
+connection or could not be reached may have restarted since its last report: it
+takes work as a cold one does until a report shows the same instance.
 """
 
 from __future__ import annotations
@@ -169,6 +171,7 @@
         "successes",
         "told_by",
         "trial_sent_at",
+        "unconfirmed_since",
     )
 
     def __init__(self, service: str, address: str, slots: int) -> None:
@@ -197,6 +200,8 @@
         self.pause_s = 0.0
         self.recovered_at = -math.inf
         self.trial_sent_at: float | None = None
+        # Last broken or failed connection, None once a report confirmed the instance.
+        self.unconfirmed_since: float | None = None
 
     def send(self, event: str) -> None:
         """Feed one input to the machine."""
@@ -223,6 +228,13 @@
         self.latency_at = -math.inf
         self.pause_s = 0.0
         self.trial_sent_at = None
+        self.unconfirmed_since = None
+
+    def ramp_since(self) -> float | None:
+        """Return the start of the ramp that bounds new work, None if none does."""
+        if self.state is not LifeState.COLD:
+            return self.unconfirmed_since
+        return max(self.cold_since, self.unconfirmed_since or -math.inf)
 
 
 class UpstreamStates:
@@ -291,10 +303,11 @@
         record = self._records[upstream]
         if record.state is LifeState.EJECTED:
             return min(1, slots)  # the single trial
-        if record.state is LifeState.COLD:
-            share = max(0.0, now - record.cold_since) / COLD_RAMP_S
-            return min(slots, 1 + int((slots - 1) * share))
-        return slots
+        ramp_since = record.ramp_since()
+        if ramp_since is None:
+            return slots
+        share = max(0.0, now - ramp_since) / COLD_RAMP_S
+        return min(slots, 1 + int((slots - 1) * share))
 
     def note_dispatch(self, upstream: str, now: float) -> None:
         """Record that a request is sent; on an ejected upstream it is the trial."""
@@ -302,6 +315,13 @@
         if record is not None and record.state is LifeState.EJECTED:
             record.trial_sent_at = now
 
+    def note_broken(self, upstream: str, sent_at: float, now: float) -> None:
+        """Record a broken or failed connection: the upstream may have restarted."""
+        record = self._records.get(upstream)
+        if record is None or sent_at < record.renewed_at:
+            return
+        record.unconfirmed_since = now
+
     def note_outcome(
         self,
         upstream: str,
@@ -438,6 +458,9 @@
                 del record.past_instances[:-MAX_PAST_INSTANCES]
                 record.renew(now)
             record.instance = report.instance
+        since = record.unconfirmed_since
+        if since is not None and sent_at >= since:
+            record.unconfirmed_since = None
         if report.draining:
             self._leave(record)
 
--- a/tests/unit/test_upstreamstate.py
+++ b/tests/unit/test_upstreamstate.py
@@ -240,3 +240,31 @@
         assert not any(states.accepts(item, now) for item in away)
         ejected = sum(states.state(n, now) is LifeState.EJECTED for n in names)
         assert ejected <= (0 if count < 2 else max(1, count // 3))
+
+
+def test_broken_connection_ramps_until_a_report_confirms_the_instance() -> None:
+    # An upstream that restarted unnoticed got a full share of work while cold.
+    states = make_states()
+    states.note_report("u0", report("first"), 1.0, 1.0)
+    states.note_broken("u0", 2.0, 2.0)
+    assert states.limit("u0", 3, 2.0) == 1
+    states.note_report("u0", report("first"), 1.9, 2.1)  # sent before the break
+    assert states.limit("u0", 3, 2.1) == 1
+    states.note_report("u0", report("first"), 2.2, 2.3)
+    assert states.limit("u0", 3, 2.3) == 3
+    states.note_broken("u0", 3.0, 3.0)
+    states.note_report("u0", report("second"), 4.0, 4.0)
+    assert states.state("u0", 4.0) is LifeState.COLD
+    states.note_broken("u0", 3.9, 4.1)  # of the first instance
+    assert states.limit("u0", 3, 4.0 + COLD_RAMP_S) == 3
+
+
+def test_broken_connection_without_reports_ramps_by_time() -> None:
+    # Without reports the bound would otherwise stay for good.
+    states = make_states()
+    states.note_broken("u0", 2.0, 2.0)
+    assert [states.limit("u0", 3, 2.0 + t) for t in (0.0, 5.0, COLD_RAMP_S)] == [
+        1,
+        2,
+        3,
+    ]
