Split the rows and the peers' views from the lease keeper

Cause: leasekeeper.py had 657 lines and three jobs: deciding which shards to hold, reading and writing their rows, and keeping what heartbeats say of leases. Its `usable_after` was called by tests only; the wait after a takeover is enforced by `limits`.

Ruled out: moving the table steps (renew, take, take over) as well; they decide, and share the holder, the witness and the takeovers with the tick.

Change: `leasetable.py` has the rows, `leaseviews.py` the heartbeats; no change of behaviour. `usable_after` is gone, and its two tests now ask the limits for a slot, which is what a dispatch does; one also checks that the slot is given after the wait.

Unit tests of the leases, test_caps -k failures and test_planned_stop pass.

--- a/samphirebend/leasekeeper.py
+++ b/samphirebend/leasekeeper.py
@@ -3,11 +3,6 @@
 Heartbeats and their replies carry leases and grants; release requests carry
 votes; the table holds one row for each shard. `limits` is told which shards
 are usable, and when a manifest version may be activated.
-
-A row `shard#NAME` has the attributes `holder`, `incarnation`, `generation`,
-`state`, and in addition `witnesses` and `mates` (the hosts whose grants
-count) and `renewal` and `fence`, which make every write distinct, so that a
-write whose response was lost can be told from an earlier one.
 """
 
 from __future__ import annotations
@@ -17,50 +12,28 @@
 from typing import Any, Final, Protocol
 
 from loguru import logger
-from result import Ok, Result
+from result import Ok
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from .leases import NEVER, Holder, Takeover, Terms, Witness
+from .leasetable import HELD, RELEASED, MakeRow, ShardRow, ShardTable, Table
+from .leaseviews import LIVE_S, LeaseViews
 from .limits import Limits
 from .manifest import Manifest
 from .shards import score, witnesses
 from .wire import Heartbeat, HeartbeatReply, ReleaseReply, ReleaseRequest, ShardLease
 
 TICK_S: Final = 0.1
-LIVE_S: Final = 1.5
 STEP_INTERVAL_S: Final = 0.25
 MAX_LEASES_PER_HEARTBEAT: Final = 256
 MAX_STEPS_PER_TICK: Final = 8
-HELD: Final = "held"
-RELEASED: Final = "released"
 # The generation field of release messages carries the round in its upper half,
 # because a late vote of an earlier round must not count.
 ROUND_SHIFT: Final = 32
 GENERATION_MASK: Final = (1 << ROUND_SHIFT) - 1
 
 
-class TableRow(Protocol):
-    """A row of the table service."""
-
-    @property
-    def key(self) -> str: ...
-
-    @property
-    def revision(self) -> int: ...
-
-    @property
-    def attributes(self) -> dict[str, str | int | bytes]: ...
-
-
-class Table(Protocol):
-    """The part of `TableStore` that is used here."""
-
-    async def get(self, key: str) -> Result[Any, Any]: ...
-
-    async def put(self, row: Any, expected_revision: int) -> Result[None, Any]: ...
-
-
 class Peers(Protocol):
     """The part of `PeerService` that is used here."""
 
@@ -74,49 +47,6 @@
     def on_message(self, kind: Any, handler: Callable[[Any, Any], None]) -> object: ...
 
 
-MakeRow = Callable[[str, int, dict[str, str | int | bytes]], Any]
-
-
-class _Peer:
-    """What a host's last heartbeat said about leases."""
-
-    __slots__ = ("drained_version", "heard_at", "shards", "stopping")
-
-    def __init__(self, heartbeat: Heartbeat, now: float) -> None:
-        self.heard_at = now
-        self.stopping = heartbeat.stopping
-        self.drained_version = heartbeat.drained_version
-        self.shards = {item.name: item.generation for item in heartbeat.shards}
-
-
-class _ShardRow:
-    """A parsed shard row."""
-
-    __slots__ = ("attributes", "generation", "holder", "incarnation", "revision")
-
-    def __init__(self, row: TableRow) -> None:
-        self.attributes = dict(row.attributes)
-        self.revision = row.revision
-        self.holder = str(row.attributes.get("holder", ""))
-        self.incarnation = int(row.attributes.get("incarnation", 0))
-        self.generation = int(row.attributes.get("generation", 0))
-
-    def released(self) -> bool:
-        """Tell whether the holder gave the shard up by itself."""
-        return self.attributes.get("state") == RELEASED
-
-    def terms(self) -> Terms:
-        """Return the hosts whose grants count for the row's generation."""
-        return Terms(_read_names(self, "witnesses"), _read_names(self, "mates"))
-
-
-def _read_names(row: _ShardRow, name: str) -> frozenset[str]:
-    text = row.attributes.get(name, "")
-    return (
-        frozenset(text.split("\n")) if isinstance(text, str) and text else frozenset()
-    )
-
-
 class LeaseKeeper:
     """Acquires, renews, takes over and returns shard leases."""
 
@@ -141,31 +71,24 @@
         self._incarnation = incarnation
         self._lease_s = lease_s
         self._peers = peers
-        self._table = table
-        self._make_row = make_row
         self._limits = limits
         self._clock = clock
-        self._started_at = clock()
         self._holder = Holder(host, lease_s)
-        self._witness = Witness(self._started_at, lease_s)
+        started_at = clock()
+        self._witness = Witness(started_at, lease_s)
+        self._views = LeaseViews(host, started_at)
+        self._table = ShardTable(host, incarnation, table, make_row)
         self._takeovers: dict[str, Takeover] = {}
-        self._rows: dict[str, _ShardRow] = {}  # as last read or written
         self._tried_at: dict[str, float] = {}  # start of the last table step
         self._dropped: dict[str, int] = {}  # generations not to be used again
-        self._taken_at: dict[str, float] = {}
         self._returning: dict[str, float] = {}  # shard to start of its drain
-        self._heard: dict[str, _Peer] = {}
-        self._listed: frozenset[str] | None = None  # by live hosts, in this tick
         self._busy: set[str] = set()  # shards with a table operation under way
         self._version = 0
-        self._highest_version = 0  # heard from any peer
         self._manifest: Manifest | None = None
         self._own_region_shards: frozenset[str] = frozenset()
         self._configured_terms: dict[str, Terms] = {}  # of the manifest in force
         self._old_shards: frozenset[str] = frozenset()  # until activation
         self._stopping = False
-        self._renewals = 0
-        self._written_on: dict[str, int] = {}  # revision of the last row write
         self._acquired_at: dict[str, float] = {}
         self._loop = LoopingCall(self._tick_safely)
         self._loop.clock = reactor
@@ -211,14 +134,6 @@
         """Return the generation of a lease held, valid or not."""
         return self._holder.shards().get(shard)
 
-    def usable_after(self, shard: str, service: str, now: float) -> float:
-        """Return the time until which dispatches wait after a takeover."""
-        taken_at = self._taken_at.get(shard)
-        if taken_at is None or self._manifest is None:
-            return now
-        found = self._manifest.services.get(service)
-        return max(now, taken_at + (found.timeout_s if found else 0.0))
-
     async def release_all(self) -> None:
         """Give up all leases and say so in the table; acquire none afterwards.
 
@@ -269,7 +184,7 @@
         """Return shards with the step that each needs, most urgent first."""
         steps: list[tuple[str, Callable[[str], Coroutine[Any, Any, None]]]] = []
         leases = self._holder.shards()
-        self._listed = None  # heartbeats may have come since the last tick
+        self._views.begin_tick()
         for shard in leases:
             if self._drained(shard, now):
                 steps.append((shard, self._release))
@@ -293,38 +208,19 @@
         """Tell whether a host was heard lately and is not stopping."""
         if host == self._host:
             return not self._stopping
-        peer = self._heard.get(host)
-        return peer is not None and not peer.stopping and now < peer.heard_at + LIVE_S
-
-    def _unheard_for(self, host: str, duration_s: float, now: float) -> bool:
-        """Tell whether a host is stopping or was not heard for a duration."""
-        peer = self._heard.get(host)
-        if peer is not None and peer.stopping:
-            return True
-        since = peer.heard_at if peer else self._started_at
-        return host != self._host and now >= since + duration_s
-
-    def _has_given_up(self, shard: str, row: _ShardRow, now: float) -> bool:
-        """Tell whether the holder in a row is not heard or lists other leases."""
-        peer = self._heard.get(row.holder)
-        if row.holder == self._host or peer is None:
-            return row.holder == self._host or self._unheard_for(
-                row.holder, LIVE_S, now
-            )
-        listed = peer.shards.get(shard) == row.generation
-        return not listed or now >= peer.heard_at + LIVE_S
+        return self._views.is_live(host, now)
 
     def _wants(self, shard: str, now: float) -> bool:
         """Tell whether this host should try to hold a shard."""
-        if self._version < self._highest_version:
+        if self._version < self._views.highest_version:
             return False
         if shard == self._host:
             return shard in self._region_shards()
         removed = shard not in self._region_shards()
-        absent = self._unheard_for(shard, LIVE_S, now)
+        absent = self._views.unheard_for(shard, LIVE_S, now)
         if not removed and not absent:
             return False
-        if shard in self._listed_by_live(now):
+        if shard in self._views.listed_by_live(now):
             return False
         live = [name for name in self._region_shards() if self._is_live(name, now)]
         return max(live, key=lambda name: score(shard, name), default="") == self._host
@@ -339,27 +235,15 @@
             return False
         if self._limits.active_version() >= self._version:
             return False
-        return not self._applies(shard, now) and shard not in self._listed_by_live(now)
-
-    def _listed_by_live(self, now: float) -> frozenset[str]:
-        """Return the shards that live hosts list.
-
-        Collected once a tick, because after the loss of a failure domain many
-        shards are looked for among all hosts.
-        """
-        if self._listed is None:
-            live = (p for p in self._heard.values() if now < p.heard_at + LIVE_S)
-            self._listed = frozenset(name for peer in live for name in peer.shards)
-        return self._listed
+        return not self._applies(
+            shard, now
+        ) and shard not in self._views.listed_by_live(now)
 
     def _update_returns(self, now: float) -> None:
         """Start to drain shards whose configured host is live again or removed."""
         for shard in self._holder.shards():
             removed = shard not in self._region_shards()
-            peer = self._heard.get(shard)
-            wanted = peer is not None and shard not in peer.shards
-            back = shard != self._host and self._is_live(shard, now) and wanted
-            if removed or back:
+            if removed or self._views.back_without(shard, now):
                 self._returning.setdefault(shard, now)
             else:
                 self._returning.pop(shard, None)
@@ -387,7 +271,7 @@
         """Activate the newest version when all holders in the region apply it."""
         if self._limits.active_version() >= self._version:
             return
-        if self._version < self._highest_version:
+        if self._version < self._views.highest_version:
             return
         shards = self._region_shards() | self._old_shards
         if shards and all(self._applies(shard, now) for shard in shards):
@@ -396,73 +280,31 @@
                 self._old_shards = frozenset()
 
     def _applies(self, shard: str, now: float) -> bool:
-        """Tell whether a shard's holder has drained to exactly this version.
-
-        A later version does not count: a host that skipped this version never
-        applied its reductions.
-        """
+        """Tell whether a shard's holder has drained to exactly this version."""
         if shard in self._holder.shards():
             return self._limits.drained_version() == self._version
-        row = self._rows.get(shard)
+        row = self._table.last_seen(shard)
         if shard not in self._region_shards() and row is not None and row.released():
             return True
-        return any(
-            shard in peer.shards
-            and peer.drained_version == self._version
-            and now < peer.heard_at + LIVE_S
-            for peer in self._heard.values()
-        )
+        return self._views.applies(shard, self._version, now)
 
     # Table steps: at most one read and one write each
 
-    async def _read(self, shard: str) -> _ShardRow | None:
+    async def _read(self, shard: str) -> ShardRow | None:
         """Read a row; None if it is missing or the table gave no answer."""
-        found = await self._table.get(f"shard#{shard}")
-        if not isinstance(found, Ok) or found.ok_value is None:
-            return None
-        row = _ShardRow(found.ok_value)
-        self._rows[shard] = row
-        self._witness.learn(shard, row.generation)
+        found = await self._table.find(shard)
+        row: ShardRow | None = found.unwrap_or(None)
+        if row is not None:
+            self._witness.learn(shard, row.generation)
         return row
 
-    async def _write(
-        self, shard: str, revision: int, attributes: dict[str, str | int | bytes]
-    ) -> bool:
-        self._written_on[shard] = revision
-        row = self._make_row(f"shard#{shard}", revision + 1, attributes)
-        answer = await self._table.put(row, revision)
-        if not isinstance(answer, Ok):
-            # The write may have taken effect: the next step reads the row.
-            self._rows.pop(shard, None)
-            return False
-        self._rows[shard] = _ShardRow(row)
-        return True
-
-    def _attributes(
-        self, generation: int, terms: Terms, state: str
-    ) -> dict[str, str | int | bytes]:
-        self._renewals += 1
-        return {
-            "holder": self._host,
-            "incarnation": self._incarnation,
-            "generation": generation,
-            "state": state,
-            "witnesses": "\n".join(sorted(terms.witnesses)),
-            "mates": "\n".join(sorted(terms.mates)),
-            "renewal": self._renewals,
-            "fence": "",
-        }
-
-    def _is_own(self, row: _ShardRow) -> bool:
-        return row.holder == self._host and row.incarnation == self._incarnation
-
-    async def _own_row(self, shard: str) -> _ShardRow | None:
+    async def _own_row(self, shard: str) -> ShardRow | None:
         """Return the row of a lease held; drop the lease if another holds it."""
-        row = self._rows.get(shard) or await self._read(shard)
+        row = self._table.last_seen(shard) or await self._read(shard)
         generation = self.generation(shard)
         if row is None or generation is None:
             return None
-        if not self._is_own(row) or row.generation != generation:
+        if not self._table.is_own(row) or row.generation != generation:
             self._drop(shard)
             return None
         return row
@@ -482,7 +324,7 @@
         generation = self.generation(shard)
         if row is None or generation is None:
             return
-        if row.revision > self._written_on.get(shard, 0):
+        if self._table.is_newer_than_write(shard, row):
             self._holder.settle_terms(shard, row.terms())
         terms = self._terms(shard)
         if shard not in self._region_shards():
@@ -490,8 +332,8 @@
         self._holder.propose_terms(shard, terms)
         sent_at = self._clock()
         renewed = generation + self._must_renumber(shard, sent_at)
-        attributes = self._attributes(renewed, terms, HELD)
-        took_effect = await self._write(shard, row.revision, attributes)
+        attributes = self._table.attributes(renewed, terms, HELD)
+        took_effect = await self._table.write(shard, row.revision, attributes)
         if not took_effect or self.generation(shard) != generation:
             return
         if renewed > generation:
@@ -516,11 +358,15 @@
             return
         self._drop(shard)
         for _ in range(2):
-            row = self._rows.get(shard) or await self._read(shard)
-            if row is None or not self._is_own(row) or row.generation != generation:
+            row = self._table.last_seen(shard) or await self._read(shard)
+            if (
+                row is None
+                or not self._table.is_own(row)
+                or row.generation != generation
+            ):
                 return
-            attributes = self._attributes(generation, terms, RELEASED)
-            if await self._write(shard, row.revision, attributes):
+            attributes = self._table.attributes(generation, terms, RELEASED)
+            if await self._table.write(shard, row.revision, attributes):
                 return
 
     async def _look(self, shard: str) -> None:
@@ -531,35 +377,34 @@
         """Create a row, take a released shard, or go on with a takeover."""
         if self._stopping:
             return
-        found = await self._table.get(f"shard#{shard}")
+        found = await self._table.find(shard)
         if not isinstance(found, Ok):
             return
-        if found.ok_value is None:
+        row = found.ok_value
+        if row is None:
             now = self._clock()
-            unheard = self._unheard_for(shard, self._lease_s, now)
+            unheard = self._views.unheard_for(shard, self._lease_s, now)
             if shard == self._host or unheard or shard not in self._region_shards():
                 await self._take(shard, 0, 1, waits=False)
             return
-        row = _ShardRow(found.ok_value)
-        self._rows[shard] = row
         self._witness.learn(shard, row.generation)
         if row.released() and shard not in self._region_shards():
             return
         if row.released():
             await self._take(shard, row.revision, row.generation + 1, waits=False)
-        elif self._is_own(row):
+        elif self._table.is_own(row):
             await self._adopt(shard, row)
-        elif self._has_given_up(shard, row, self._clock()):
+        elif self._views.has_given_up(shard, row, self._clock()):
             await self._take_over(shard, row)
 
-    async def _adopt(self, shard: str, row: _ShardRow) -> None:
+    async def _adopt(self, shard: str, row: ShardRow) -> None:
         """Use a row that this process wrote without seeing the result."""
         if row.generation <= self._dropped.get(shard, 0):
             await self._take(shard, row.revision, row.generation + 1, waits=True)
             return
         self._acquired(shard, row.generation, row.terms(), NEVER, waits=True)
 
-    async def _take_over(self, shard: str, row: _ShardRow) -> None:
+    async def _take_over(self, shard: str, row: ShardRow) -> None:
         takeover = self._takeovers.get(shard)
         if takeover is None:
             takeover = Takeover(self._lease_s, self._incarnation % (1 << 30))
@@ -571,7 +416,7 @@
             return
         # A holder that has just written the row may not have sent a heartbeat
         # yet; a vote would keep its generation from ever being granted.
-        unheard = self._unheard_for(row.holder, self._lease_s, now)
+        unheard = self._views.unheard_for(row.holder, self._lease_s, now)
         if not (unheard or takeover.waited(now) or row.holder == self._host):
             return
         tagged = takeover.round << ROUND_SHIFT | row.generation
@@ -587,8 +432,8 @@
         """Write the row with a new generation and use it once acknowledged."""
         terms = self._terms(shard)
         sent_at = self._clock()
-        attributes = self._attributes(generation, terms, HELD)
-        if not await self._write(shard, revision, attributes):
+        attributes = self._table.attributes(generation, terms, HELD)
+        if not await self._table.write(shard, revision, attributes):
             return
         self._acquired(shard, generation, terms, sent_at, waits)
 
@@ -600,7 +445,6 @@
         self._acquired_at[shard] = now
         self._witness.learn(shard, generation)
         if waits:
-            self._taken_at[shard] = now
             self._limits.note_takeover(shard, now)
         self._limits.set_held(self.held(now), now)
         logger.info("shard {} acquired, generation {}", shard, generation)
@@ -613,7 +457,7 @@
             return
         fence = f"{self._host}.{self._incarnation}"
         attributes = row.attributes | {"fence": fence}
-        if await self._write(shard, row.revision, attributes):
+        if await self._table.write(shard, row.revision, attributes):
             self._witness.note_fenced(shard, row.generation)
 
     # Hooks of the peer service
@@ -626,8 +470,7 @@
         heartbeat.drained_version = self._limits.drained_version()
 
     def _note_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        self._heard[heartbeat.host] = _Peer(heartbeat, now)
-        self._highest_version = max(self._highest_version, heartbeat.manifest_version)
+        self._views.note_heartbeat(heartbeat, now)
 
     def _fill_reply(
         self, heartbeat: Heartbeat, reply: HeartbeatReply, now: float
@@ -639,7 +482,7 @@
                 reply.grants.append(lease)
 
     def _note_reply(self, reply: HeartbeatReply, sent_at: float, now: float) -> None:
-        self._highest_version = max(self._highest_version, reply.manifest_version)
+        self._views.note_version(reply.manifest_version)
         for lease in reply.grants:
             self._holder.note_grant(lease.name, lease.generation, reply.host, sent_at)
 
--- /dev/null
+++ b/samphirebend/leasetable.py
@@ -0,0 +1,149 @@
+"""Rows of the table service that record who holds each shard.
+
+`leasekeeper` decides what to write; this module reads and writes the rows and
+keeps each as it was last seen.
+
+A row `shard#NAME` has the attributes `holder`, `incarnation`, `generation`,
+`state`, and in addition `witnesses` and `mates` (the hosts whose grants
+count) and `renewal` and `fence`, which make every write distinct, so that a
+write whose response was lost can be told from an earlier one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from result import Err, Ok, Result
+
+from .leases import Terms
+
+HELD: Final = "held"
+RELEASED: Final = "released"
+Attributes = dict[str, str | int | bytes]
+
+
+class TableRow(Protocol):
+    """A row of the table service."""
+
+    @property
+    def key(self) -> str: ...
+
+    @property
+    def revision(self) -> int: ...
+
+    @property
+    def attributes(self) -> Attributes: ...
+
+
+class Table(Protocol):
+    """The part of `TableStore` that is used for leases."""
+
+    async def get(self, key: str) -> Result[Any, Any]: ...
+
+    async def put(self, row: Any, expected_revision: int) -> Result[None, Any]: ...
+
+
+MakeRow = Callable[[str, int, Attributes], Any]
+
+
+class ShardRow:
+    """A parsed shard row."""
+
+    __slots__ = ("attributes", "generation", "holder", "incarnation", "revision")
+
+    def __init__(self, row: TableRow) -> None:
+        self.attributes = dict(row.attributes)
+        self.revision = row.revision
+        self.holder = str(row.attributes.get("holder", ""))
+        self.incarnation = int(row.attributes.get("incarnation", 0))
+        self.generation = int(row.attributes.get("generation", 0))
+
+    def released(self) -> bool:
+        """Tell whether the holder gave the shard up by itself."""
+        return self.attributes.get("state") == RELEASED
+
+    def terms(self) -> Terms:
+        """Return the hosts whose grants count for the row's generation."""
+        return Terms(_read_names(self, "witnesses"), _read_names(self, "mates"))
+
+
+def _read_names(row: ShardRow, name: str) -> frozenset[str]:
+    text = row.attributes.get(name, "")
+    return (
+        frozenset(text.split("\n")) if isinstance(text, str) and text else frozenset()
+    )
+
+
+class ShardTable:
+    """Reads and writes the rows of shards on behalf of one process."""
+
+    __slots__ = (
+        "_host",
+        "_incarnation",
+        "_make_row",
+        "_renewals",
+        "_rows",
+        "_table",
+        "_written_on",
+    )
+
+    def __init__(
+        self, host: str, incarnation: int, table: Table, make_row: MakeRow
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._table = table
+        self._make_row = make_row
+        self._rows: dict[str, ShardRow] = {}  # as last read or written
+        self._written_on: dict[str, int] = {}  # revision of the last row write
+        self._renewals = 0
+
+    def last_seen(self, shard: str) -> ShardRow | None:
+        """Return the row as last read or written, None if that is not known."""
+        return self._rows.get(shard)
+
+    def is_own(self, row: ShardRow) -> bool:
+        """Tell whether this process wrote a row as its holder."""
+        return row.holder == self._host and row.incarnation == self._incarnation
+
+    def is_newer_than_write(self, shard: str, row: ShardRow) -> bool:
+        """Tell whether a row has changed since the one last written on."""
+        return row.revision > self._written_on.get(shard, 0)
+
+    async def find(self, shard: str) -> Result[ShardRow | None, Any]:
+        """Read a row, None if it is missing; return the table's error."""
+        found = await self._table.get(f"shard#{shard}")
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Ok(None)
+        row = ShardRow(found.ok_value)
+        self._rows[shard] = row
+        return Ok(row)
+
+    async def write(self, shard: str, revision: int, attributes: Attributes) -> bool:
+        """Write a row if it still has the revision; tell whether it was confirmed."""
+        self._written_on[shard] = revision
+        row = self._make_row(f"shard#{shard}", revision + 1, attributes)
+        answer = await self._table.put(row, revision)
+        if not isinstance(answer, Ok):
+            # The write may have taken effect: the next step reads the row.
+            self._rows.pop(shard, None)
+            return False
+        self._rows[shard] = ShardRow(row)
+        return True
+
+    def attributes(self, generation: int, terms: Terms, state: str) -> Attributes:
+        """Return the attributes of a new row of this process."""
+        self._renewals += 1
+        return {
+            "holder": self._host,
+            "incarnation": self._incarnation,
+            "generation": generation,
+            "state": state,
+            "witnesses": "\n".join(sorted(terms.witnesses)),
+            "mates": "\n".join(sorted(terms.mates)),
+            "renewal": self._renewals,
+            "fence": "",
+        }
--- /dev/null
+++ b/samphirebend/leaseviews.py
@@ -0,0 +1,103 @@
+"""What heartbeats of the peers say about leases.
+
+`leasekeeper` asks here which hosts are live and which shards they list. All
+times are on the clock of this process.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from .leasetable import ShardRow
+from .wire import Heartbeat
+
+LIVE_S: Final = 1.5
+
+
+class _PeerLeases:
+    """What a host's last heartbeat said about leases."""
+
+    __slots__ = ("drained_version", "heard_at", "shards", "stopping")
+
+    def __init__(self, heartbeat: Heartbeat, now: float) -> None:
+        self.heard_at = now
+        self.stopping = heartbeat.stopping
+        self.drained_version = heartbeat.drained_version
+        self.shards = {item.name: item.generation for item in heartbeat.shards}
+
+
+class LeaseViews:
+    """Leases of all hosts as they were last heard."""
+
+    __slots__ = ("_heard", "_host", "_listed", "_started_at", "highest_version")
+
+    def __init__(self, host: str, started_at: float) -> None:
+        self._host = host
+        self._started_at = started_at
+        self._heard: dict[str, _PeerLeases] = {}
+        self._listed: frozenset[str] | None = None  # by live hosts, in this tick
+        self.highest_version = 0  # of manifests, heard from any peer
+
+    def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Record what a host says."""
+        self._heard[heartbeat.host] = _PeerLeases(heartbeat, now)
+        self.note_version(heartbeat.manifest_version)
+
+    def note_version(self, version: int) -> None:
+        """Record a manifest version that a peer knows."""
+        self.highest_version = max(self.highest_version, version)
+
+    def is_live(self, host: str, now: float) -> bool:
+        """Tell whether another host was heard lately and is not stopping."""
+        peer = self._heard.get(host)
+        return peer is not None and not peer.stopping and now < peer.heard_at + LIVE_S
+
+    def unheard_for(self, host: str, duration_s: float, now: float) -> bool:
+        """Tell whether a host is stopping or was not heard for a duration."""
+        peer = self._heard.get(host)
+        if peer is not None and peer.stopping:
+            return True
+        since = peer.heard_at if peer else self._started_at
+        return host != self._host and now >= since + duration_s
+
+    def has_given_up(self, shard: str, row: ShardRow, now: float) -> bool:
+        """Tell whether the holder in a row is not heard or lists other leases."""
+        peer = self._heard.get(row.holder)
+        if row.holder == self._host or peer is None:
+            return row.holder == self._host or self.unheard_for(row.holder, LIVE_S, now)
+        listed = peer.shards.get(shard) == row.generation
+        return not listed or now >= peer.heard_at + LIVE_S
+
+    def back_without(self, shard: str, now: float) -> bool:
+        """Tell whether the configured host of a shard is live and lacks it."""
+        peer = self._heard.get(shard)
+        wanted = peer is not None and shard not in peer.shards
+        return shard != self._host and self.is_live(shard, now) and wanted
+
+    def applies(self, shard: str, version: int, now: float) -> bool:
+        """Tell whether the shard's holder has drained to exactly this version.
+
+        A later version does not count: a host that skipped this version never
+        applied its reductions.
+        """
+        return any(
+            shard in peer.shards
+            and peer.drained_version == version
+            and now < peer.heard_at + LIVE_S
+            for peer in self._heard.values()
+        )
+
+    def begin_tick(self) -> None:
+        """Forget the collected shards: heartbeats may have come since."""
+        self._listed = None
+
+    def listed_by_live(self, now: float) -> frozenset[str]:
+        """Return the shards that live hosts list.
+
+        Collected once a tick, because after the loss of a failure domain many
+        shards are looked for among all hosts.
+        """
+        if self._listed is None:
+            live = (p for p in self._heard.values() if now < p.heard_at + LIVE_S)
+            self._listed = frozenset(name for peer in live for name in peer.shards)
+        return self._listed
--- a/tests/unit/test_leasekeeper.py
+++ b/tests/unit/test_leasekeeper.py
@@ -187,6 +187,16 @@
             return frozenset()
         return self.nodes[host].keeper.held(self.clock.seconds())
 
+    def can_dispatch(self, host: str, shard: str) -> bool:
+        """Tell whether the host gets a slot at a `write` upstream of the shard."""
+        limits = self.nodes[host].limits
+        own = (name for name, held_by in assign(MANIFEST).items() if held_by == shard)
+        upstream = next(name for name in own if name.startswith("write"))
+        reserved = limits.reserve(upstream, self.clock.seconds())
+        if isinstance(reserved, Ok):
+            limits.release(reserved.ok_value)
+        return reserved.is_ok()
+
     def all_own(self) -> bool:
         return all(self.held(host) == {host} for host in self.nodes)
 
@@ -212,9 +222,9 @@
     world.kill("s1")
     world.run(6.5)
     assert world.held("s2") == {"s1", "s2"}
-    now = world.clock.seconds()
-    assert world.nodes["s2"].keeper.usable_after("s1", "write", now) > now
+    assert not world.can_dispatch("s2", "s1")  # the dead host's may still run
     world.run(10)
+    assert world.can_dispatch("s2", "s1")
     world.start("s1")
     world.run(3)
     assert world.all_own()
@@ -229,8 +239,7 @@
     Deferred.fromCoroutine(world.nodes["w1"].keeper.release_all())
     world.run(1.5)
     assert world.held("w2") == {"w1", "w2"}
-    now = world.clock.seconds()
-    assert world.nodes["w2"].keeper.usable_after("w1", "write", now) == now
+    assert world.can_dispatch("w2", "w1")
 
 
 def test_restarted_region_gets_its_shards_back() -> None:
