Move the link to a peer into a module of its own

Ruled out: splitting the listener off as well; it shares the handlers and hooks.

Change: `peerlink.py` has the connection, the link and its state machine, and knows the service by the protocol `LinkService`. No change of behaviour.

Conclusion: a link can be read without the service.

--- a/samphirebend/peers.py
+++ b/samphirebend/peers.py
@@ -1,4 +1,4 @@
-"""TCP links to the other daemons, with heartbeats and their replies.
+"""Links to the other daemons, with heartbeats and their replies.
 
 Every daemon connects to the peer address of each other one, sends heartbeats
 on that connection and reads the replies from it. Other modules add their part
@@ -11,38 +11,25 @@
 import random
 import time
 from collections.abc import Callable, Collection, Iterable
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
-from automat import TypeMachineBuilder
 from loguru import logger
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, connectionDone
+from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
-from twisted.protocols.basic import Int32StringReceiver
-from twisted.python.failure import Failure
-from zope.interface import implementer
 
 from .addresses import Address
 from .manifest import Host
 from .options import Options
-from .wire import Heartbeat, HeartbeatReply, Message, decode, encode
+from .peerlink import Link, PeerConnection
+from .wire import Heartbeat, HeartbeatReply, Message, encode
 
-MAX_MESSAGE_BYTES: Final = 32 * 1024 * 1024
-# Bytes that may queue behind a full send buffer before the link is closed.
-MAX_UNSENT_BYTES: Final = 1024 * 1024
 # Time without any byte from the peer after which a link counts as stalled. Any
 # byte counts, because a long manifest may delay the reply behind it.
 STALL_S: Final = 2.0
 # Incoming connections are closed later than the peer's own stall limit, so
 # that the peer, which can reopen the link, normally acts first.
 IDLE_S: Final = 10.0
-CONNECT_TIMEOUT_S: Final = 1.0
-FIRST_RETRY_S: Final = 0.1
-MAX_RETRY_S: Final = 2.0
-# Heartbeats whose reply a link waits for; older ones are forgotten.
-MAX_UNANSWERED: Final = 64
 
 Respond = Callable[[Message], None]
 MessageHandler = Callable[[Any, Respond], None]
@@ -52,262 +39,6 @@
 ReplyListener = Callable[[HeartbeatReply, float, float], object]
 
 
-@implementer(IPushProducer)
-class _SendMonitor:
-    """Follows whether a transport's send buffer is full."""
-
-    __slots__ = ("full", "queued_bytes")
-
-    def __init__(self) -> None:
-        self.full = False
-        self.queued_bytes = 0  # written since the buffer was full
-
-    def pauseProducing(self) -> None:
-        self.full = True
-
-    def resumeProducing(self) -> None:
-        self.full = False
-        self.queued_bytes = 0
-
-    def stopProducing(self) -> None:
-        pass
-
-
-class PeerConnection(Int32StringReceiver):
-    """One TCP connection of either direction, carrying messages."""
-
-    MAX_LENGTH = MAX_MESSAGE_BYTES
-
-    def __init__(
-        self,
-        now: Callable[[], float],
-        on_message: Callable[[PeerConnection, Message], None],
-        on_lost: Callable[[PeerConnection], None],
-    ) -> None:
-        self._now = now
-        self._on_message = on_message
-        self._on_lost = on_lost
-        self._monitor = _SendMonitor()
-        self._aborted = False
-        self.last_data_at = now()
-
-    def connectionMade(self) -> None:
-        transport: Any = self.transport
-        transport.setTcpNoDelay(True)
-        transport.registerProducer(self._monitor, True)
-        self.last_data_at = self._now()
-
-    def dataReceived(self, data: bytes) -> None:
-        self.last_data_at = self._now()
-        super().dataReceived(data)
-
-    def stringReceived(self, string: bytes) -> None:
-        message = decode(string)
-        if message is not None:
-            self._on_message(self, message)
-
-    def lengthLimitExceeded(self, length: int) -> None:
-        logger.warning("peer message of {} bytes exceeds the limit", length)
-        self.abort()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self._on_lost(self)
-
-    def send(self, data: bytes) -> bool:
-        """Queue an encoded message; close the connection if it is clogged."""
-        if self._aborted:
-            return False
-        if len(data) > MAX_MESSAGE_BYTES:
-            logger.error("message of {} bytes exceeds the limit", len(data))
-            return False
-        if self._monitor.queued_bytes > MAX_UNSENT_BYTES:
-            logger.warning("peer connection closed: it does not take data")
-            self.abort()
-            return False
-        if self._monitor.full:
-            self._monitor.queued_bytes += len(data)
-        self.sendString(data)
-        return True
-
-    def abort(self) -> None:
-        """Close at once; unsent data is dropped."""
-        self._aborted = True
-        transport: Any = self.transport
-        if transport is not None:
-            transport.abortConnection()
-
-
-class _LinkEvents(Protocol):
-    """Inputs of a link's life cycle."""
-
-    def start(self) -> None: ...
-
-    def connected(self, connection: PeerConnection) -> None: ...
-
-    def lost(self) -> None: ...
-
-    def retry_due(self) -> None: ...
-
-    def close(self) -> None: ...
-
-
-class Link:
-    """The outgoing link to one peer address."""
-
-    __slots__ = (
-        "_attempt",
-        "_retry_s",
-        "_rng",
-        "_timer",
-        "address",
-        "connection",
-        "events",
-        "host",
-        "sent",
-        "service",
-    )
-
-    def __init__(
-        self, service: PeerService, address: Address, host: str, rng: random.Random
-    ) -> None:
-        self.service = service
-        self.address = address
-        self.host = host  # empty until a seed's first reply names it
-        self.connection: PeerConnection | None = None  # only while up
-        self.sent: dict[int, float] = {}  # sequence to time of sending
-        self._rng = rng
-        self._retry_s = FIRST_RETRY_S
-        self._timer: Any = None
-        self._attempt: Deferred[Any] | None = None
-        self.events: _LinkEvents = _make_link_events(self)
-
-    def connect(self) -> None:
-        """Begin one attempt to connect."""
-        endpoint = TCP4ClientEndpoint(
-            self.service.reactor,
-            self.address.ip,
-            self.address.port,
-            CONNECT_TIMEOUT_S,
-            bindAddress=(self.service.address().ip, 0),
-        )
-        factory: Any = Factory.forProtocol(self._make_connection)
-        self._attempt = endpoint.connect(factory)
-        self._attempt.addCallbacks(
-            lambda connection: self.events.connected(connection),
-            lambda _failure: self.events.lost(),
-        )
-
-    def attach(self, connection: PeerConnection) -> None:
-        """Use a new connection."""
-        self.connection = connection
-        self.service.link_up(self)
-
-    def detach(self) -> None:
-        """Forget the connection, closing it if it is still open."""
-        connection, self.connection = self.connection, None
-        self.sent.clear()
-        if connection is not None:
-            connection.abort()
-        self.service.link_down(self)
-
-    def schedule_retry(self) -> None:
-        """Wait before the next attempt, longer after each failure."""
-        wait_s = self._retry_s * self._rng.uniform(0.5, 1.0)
-        self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
-        self._timer = self.service.reactor.callLater(wait_s, self.events.retry_due)
-
-    def cancel(self) -> None:
-        """Give up the attempt or the wait in progress."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        if self._attempt is not None:
-            self._attempt.cancel()
-
-    def note_working(self) -> None:
-        """Reset the wait before the next attempt: the peer has replied."""
-        self._retry_s = FIRST_RETRY_S
-
-    def is_up(self) -> bool:
-        """Tell whether messages can be sent."""
-        return self.connection is not None
-
-    def send_heartbeat(self, sequence: int, data: bytes, now: float) -> None:
-        """Send a heartbeat and remember when."""
-        self.sent[sequence] = now
-        while len(self.sent) > MAX_UNANSWERED:
-            del self.sent[next(iter(self.sent))]
-        if self.connection is not None:
-            self.connection.send(data)
-
-    def _make_connection(self) -> PeerConnection:
-        return PeerConnection(self.service.now, self._take, self._connection_lost)
-
-    def _take(self, connection: PeerConnection, message: Message) -> None:
-        if connection is not self.connection:
-            return
-        if isinstance(message, HeartbeatReply):
-            self.service.take_reply(self, message)
-        else:
-            self.service.dispatch(connection, message)
-
-    def _connection_lost(self, connection: PeerConnection) -> None:
-        if connection is self.connection:
-            self.events.lost()
-
-
-def _make_link_builder() -> Callable[[Link], _LinkEvents]:
-    builder = TypeMachineBuilder(_LinkEvents, Link)
-    closed = builder.state("closed")
-    connecting = builder.state("connecting")
-    up = builder.state("up")
-    waiting = builder.state("waiting")
-
-    @closed.upon(_LinkEvents.start).to(connecting)
-    def begin(events: _LinkEvents, link: Link) -> None:
-        link.connect()
-
-    @closed.upon(_LinkEvents.connected).loop()
-    def refuse(events: _LinkEvents, link: Link, connection: PeerConnection) -> None:
-        connection.abort()
-
-    @connecting.upon(_LinkEvents.connected).to(up)
-    def use(events: _LinkEvents, link: Link, connection: PeerConnection) -> None:
-        link.attach(connection)
-
-    @connecting.upon(_LinkEvents.lost).to(waiting)
-    def wait(events: _LinkEvents, link: Link) -> None:
-        link.schedule_retry()
-
-    @up.upon(_LinkEvents.lost).to(waiting)
-    def reconnect(events: _LinkEvents, link: Link) -> None:
-        link.detach()
-        link.schedule_retry()
-
-    @waiting.upon(_LinkEvents.retry_due).to(connecting)
-    def retry(events: _LinkEvents, link: Link) -> None:
-        link.connect()
-
-    @up.upon(_LinkEvents.close).to(closed)
-    def drop(events: _LinkEvents, link: Link) -> None:
-        link.detach()
-
-    @connecting.upon(_LinkEvents.close).to(closed)
-    def give_up(events: _LinkEvents, link: Link) -> None:
-        link.cancel()
-
-    @waiting.upon(_LinkEvents.close).to(closed)
-    def stop_waiting(events: _LinkEvents, link: Link) -> None:
-        link.cancel()
-
-    for state in (closed, waiting):
-        state.upon(_LinkEvents.lost).loop().returns(None)
-    closed.upon(_LinkEvents.close).loop().returns(None)
-    return builder.build()
-
-
-_make_link_events: Final = _make_link_builder()
-
-
 class _Notification:
     """Waits for the replies of several links to one heartbeat."""
 
--- a/tests/integration/test_peers.py
+++ b/tests/integration/test_peers.py
@@ -13,7 +13,8 @@
 from samphirebend.addresses import Address
 from samphirebend.manifest import Host
 from samphirebend.options import Options
-from samphirebend.peers import MAX_MESSAGE_BYTES, PeerService
+from samphirebend.peerlink import MAX_MESSAGE_BYTES
+from samphirebend.peers import PeerService
 from samphirebend.wire import ReleaseReply, ReleaseRequest
 
 from ..reactor import on_reactor, reactor, until
