Read held bodies of other regions' callers at the link's share

The bodies of streamed uploads from callers in another region were read at this host's share, but bodies that are held (small ones, and up to 1 MiB with a key) were read as fast as they came.

Ruled out: to charge them to the share without slowing the reads; the excess of many registrations at once would still pass within one second.

Change: a held body goes through a sink that pauses the caller's connection as the streamed one does. The read ends with DEADLINE_PASSED at the request's deadline, since a host without a share of the link would wait for ever.

Before: no bound. After, in the new unit test: six bodies of 150,000 bytes at once stay within the share in each one-second window.

Conclusion: only request heads are read without a reservation.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -152,6 +152,7 @@
             self.metrics,
             self.spread.is_fresh,
             self.router.answer_pacer,
+            self.router.read_pacer,
         )
         servers = [HttpServer(self.entry.handle), HttpServer(self.entry.handle_relayed)]
         self.drain = Drain(
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -21,6 +21,7 @@
 from .errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
 from .exchange import (
     HEAD_BYTES,
+    PacedBody,
     Pacer,
     Received,
     StreamedAnswer,
@@ -62,6 +63,7 @@
         "_membership",
         "_metrics",
         "_reactor",
+        "_read_pacer",
         "_relay",
         "in_flight",
         "refusing",
@@ -80,6 +82,7 @@
         metrics: Metrics,
         is_fresh: Callable[[float], bool],
         answer_pacer: Callable[[ServerRequest], Pacer | None],
+        read_pacer: Callable[[ServerRequest], Pacer | None],
     ) -> None:
         self._host = host
         self._reactor = reactor
@@ -91,6 +94,7 @@
         self._metrics = metrics
         self._is_fresh = is_fresh
         self._answer_pacer = answer_pacer
+        self._read_pacer = read_pacer
         self._manifest: Manifest | None = None
         self.in_flight = 0
         self.refusing = False  # the host is about to exit
@@ -227,12 +231,26 @@
         )
         if not keyed and not is_small:
             return None
-        taken = await req.read_all(min(limit, KEYED_BODY_BYTES))
+        taken = await self._read_body(job, min(limit, KEYED_BODY_BYTES))
         if isinstance(taken, ErrorKind):
             return taken
         job.body = taken
         return None
 
+    async def _read_body(self, job: Job, max_bytes: int) -> bytes | ErrorKind:
+        """Read the whole body at the pace of the caller's link."""
+        req, call_later = job.req, self._reactor.callLater
+        pacer = self._read_pacer(req)
+        if pacer is None:
+            return await req.read_all(max_bytes)
+        reading = req.read_all(
+            max_bytes, lambda sink: PacedBody(req, sink, pacer, call_later)
+        )
+        # A host without a share of the link would wait for ever.
+        wait_s = max(0.0, job.deadline - self._reactor.seconds())
+        reading.addTimeout(wait_s, self._reactor, _end_late_read)
+        return await reading
+
     # Requests without a key.
 
     async def _serve_plain(self, job: Job) -> None:
@@ -431,6 +449,10 @@
     return min(longest_s, int(given) / 1000)
 
 
+def _end_late_read(_failure: object, _timeout_s: float) -> ErrorKind:
+    return ErrorKind.DEADLINE_PASSED
+
+
 def _fire_once(waiter: Deferred[None]) -> None:
     if not waiter.called:
         waiter.callback(None)
--- a/samphirebend/exchange.py
+++ b/samphirebend/exchange.py
@@ -19,7 +19,7 @@
 
 from .errorcodes import ErrorKind
 from .httpclient import ClientConnection, ResponseHead
-from .httpserver import Headers, ServerRequest
+from .httpserver import BodySink, Headers, ServerRequest
 from .ledger import KeptAnswer
 
 # Answers up to this size are checked whole before the caller gets a byte.
@@ -373,6 +373,35 @@
             self.result.callback(Ok(StreamedAnswer(status)))
 
 
+class PacedBody:
+    """Passes a caller's body to a sink, no faster than its link allows."""
+
+    __slots__ = ("_sink", "_writer")
+
+    def __init__(
+        self,
+        req: ServerRequest,
+        sink: BodySink,
+        pacer: Pacer,
+        call_later: Callable[..., Any],
+    ) -> None:
+        self._sink = sink
+        gate = FlowGate(req.pause_body, req.resume_body)
+        self._writer = PacedWriter(sink.write, gate, pacer, call_later)
+
+    def write(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+        self._writer.write(data)
+
+    def end(self) -> None:
+        """Pass on the end of the body."""
+        self._writer.after_writes(self._sink.end)
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Tell the sink that the body will never be whole."""
+        self._sink.fail(kind)
+
+
 class UploadPipe:
     """Streams a caller's body into a client connection."""
 
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -102,10 +102,18 @@
         else:
             self._conn.advance()
 
-    def read_all(self, max_bytes: int) -> Deferred[bytes | ErrorKind]:
-        """Collect the body; the result is BODY_TOO_LARGE beyond the limit."""
+    def read_all(
+        self,
+        max_bytes: int,
+        pace: Callable[[BodySink], BodySink] | None = None,
+    ) -> Deferred[bytes | ErrorKind]:
+        """Collect the body; the result is BODY_TOO_LARGE beyond the limit.
+
+        `pace` puts a sink that slows the body down before the one that
+        collects it.
+        """
         collector = _Collector(max_bytes)
-        self.receive(collector)
+        self.receive(pace(collector) if pace is not None else collector)
         return collector.result
 
     def pause_body(self) -> None:
--- a/tests/unit/test_exchange.py
+++ b/tests/unit/test_exchange.py
@@ -10,6 +10,7 @@
 
 from samphirebend.exchange import (
     FlowGate,
+    PacedBody,
     PacedWriter,
     join_pacers,
     respond_paced,
@@ -147,3 +148,51 @@
     both = join_pacers(reading, router.pacer_to("b"))
     assert both is not None
     assert both.piece_bytes() == reading.piece_bytes()
+
+
+class Upload:
+    """A caller's body that arrives in parts while it is not paused, and its sink."""
+
+    def __init__(self, clock: Clock, size: int) -> None:
+        self._clock = clock
+        self._left = size
+        self._paused = False
+        self.taken: list[tuple[float, int]] = []
+        self.ended_at: float | None = None
+
+    def pause_body(self) -> None:
+        self._paused = True
+
+    def resume_body(self) -> None:
+        self._paused = False
+
+    def send_to(self, body: PacedBody) -> None:
+        while self._left and not self._paused:
+            part = min(self._left, 16_384)
+            self._left -= part
+            body.write(bytes(part))
+        if not self._left:
+            body.end()
+        else:
+            self._clock.callLater(0.001, self.send_to, body)
+
+    def write(self, data: bytes) -> None:
+        self.taken.append((self._clock.seconds(), len(data)))
+
+    def end(self) -> None:
+        self.ended_at = self._clock.seconds()
+
+
+def test_held_bodies_of_other_regions_callers_are_read_at_the_share() -> None:
+    """Guards a thin link against keyed requests with bodies, which are held."""
+    clock = Clock()
+    pacer = make_pacer(clock, reading=True)
+    uploads: list[Any] = [Upload(clock, 150_000) for _ in range(6)]
+    for upload in uploads:
+        upload.send_to(PacedBody(upload, upload, pacer, clock.callLater))
+    run(clock)
+    for upload in uploads:
+        assert sum(size for _, size in upload.taken) == 150_000
+        assert upload.ended_at is not None
+        assert upload.ended_at >= upload.taken[-1][0]
+    assert peak([item for upload in uploads for item in upload.taken]) <= SHARE
