Send changes of the manifest as deltas between hosts

Cause: each host fetched the whole deflated text for each change.

Ruled out: difflib (quadratic); zlib with the old text as dictionary (windows of 32 KB); a patch keyed by parsed entries, which would lose comments and format of the committed text or need a second canonical form; a common prefix and suffix alone, which sends everything between the two places of a block that moves to another region.

A host names the version that it holds in its request; a peer answers with the chain of deltas from there, or with the whole text if it has no chain, the whole text is smaller or the request names no version (older daemons). The committing host also writes the delta to a row of its own in the same transaction, for hosts that no peer answers. Chain, edits, sizes and digest are checked before the text counts; a refused delta is logged with its reason and followed by a request for the whole text. A host keeps at most 512 deltas and 256 KB of them in memory. The whole text is deflated again only when a peer asks for it. The rows of the table move from `spread` to `manifesttable` without other changes.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,12 +23,14 @@
 
 import msgspec
 
+from samphirebend.deltas import DeltaLog, apply_steps, make_delta_steps
 from samphirebend.leasekeeper import LeaseKeeper
 from samphirebend.ledger import Ledger
 from samphirebend.limits import Limits
 from samphirebend.links import LinkBudgets
 from samphirebend.lookup import Lookup
 from samphirebend.manifest import Manifest, read_manifest, read_manifest_steps
+from samphirebend.manifesttable import inflate
 from samphirebend.membership import Membership
 from samphirebend.metrics import Metrics
 from samphirebend.router import Router
@@ -40,13 +42,17 @@
     choose_peer,
 )
 from samphirebend.shards import assign_region, link_shares
-from samphirebend.slices import Steps
+from samphirebend.slices import Steps, finish
 from samphirebend.upstreamstate import UpstreamStates
 from samphirebend.wire import (
+    MAX_DELTAS,
     Heartbeat,
     HeartbeatReply,
+    ManifestDelta,
+    ManifestReply,
     ServiceLoad,
     ShardLease,
+    TextEdit,
     decode,
     encode,
 )
@@ -313,6 +319,92 @@
         )
 
 
+def deltas() -> None:
+    """One change as a whole manifest and as a delta, by sizes."""
+    for hosts, sites, blocks in (
+        (7, 40, 0),
+        (2900, 1200, 0),
+        (2900, 1200, 100_000),
+        (2900, 1200, 400_000),
+    ):
+        data = large_manifest(hosts, sites, blocks, regions=3 if hosts == 7 else 35)
+        old = text_of(data)
+        known = read_manifest(old).expect("a manifest without faults")
+        for change in (change_cap, replace_host, move_block):
+            if blocks == 0 and change is move_block:
+                continue
+            changed = copy.deepcopy(data)
+            change(changed)
+            new = text_of(changed)
+            body = zlib.compress(new.encode())
+            wholes = [run_steps(take_whole(body)) for _ in range(REPEATS)]
+            makes = [run_steps(make_reply(old, new)) for _ in range(REPEATS)]
+            reply = finish(make_reply(old, new))
+            takes = [run_steps(take_reply(old, reply, known)) for _ in range(REPEATS)]
+            print(
+                f"{change.__name__}, {hosts} hosts, {sites} sites, {blocks} blocks: "
+                f"whole {len(body)} bytes, taken in {steps_note(wholes)}; delta "
+                f"{len(reply)} bytes, made in {steps_note(makes)}, taken in "
+                f"{steps_note(takes)}"
+            )
+
+
+def change_cap(data: Data) -> None:
+    """Change the slots of an upstream in the middle of its service."""
+    upstreams = data["services"][1]["upstreams"]
+    upstreams[len(upstreams) // 2]["slots"] = 5
+
+
+def replace_host(data: Data) -> None:
+    """Replace a host by one with another name and other addresses."""
+    host = data["hosts"][len(data["hosts"]) // 2]
+    host["name"] = "replacement"
+    for offset, field in enumerate(("entry", "relay", "peer", "admin")):
+        host[field] = f"127.200.200.9:{9000 + offset}"
+
+
+def move_block(data: Data) -> None:
+    """Move a block from the first region to the last."""
+    first, last = data["caller_blocks"][0], data["caller_blocks"][-1]
+    prefixes = first["prefixes"].split()
+    moved = prefixes.pop(len(prefixes) // 2)
+    first["prefixes"] = " ".join(prefixes)
+    last["prefixes"] += f" {moved}"
+
+
+def take_whole(body: bytes) -> Steps[Manifest]:
+    """Check a whole manifest as a host does that receives it."""
+    text = inflate(body)
+    assert text is not None
+    checked = yield from read_manifest_steps(text)
+    return checked.expect("a manifest without faults")
+
+
+def make_reply(old: str, new: str) -> Steps[bytes]:
+    """Make the reply with the delta between two texts."""
+    delta = yield from make_delta_steps(1, old.encode(), 2, new.encode())
+    assert delta is not None
+    return encode(ManifestReply(2, b"", [delta]))
+
+
+def take_reply(old: str, data: bytes, known: Manifest) -> Steps[Manifest]:
+    """Apply a reply and check its result as a host does that receives it."""
+    reply = decode(data)
+    assert isinstance(reply, ManifestReply)
+    made = yield from apply_steps(old.encode(), 1, reply.deltas, 2)
+    text = made.expect("an applied delta").decode()
+    checked = yield from read_manifest_steps(text, known)
+    return checked.expect("a manifest without faults")
+
+
+def steps_note(runs: list[tuple[float, float]]) -> str:
+    """Return the processor time of all steps and of the longest."""
+    return (
+        f"{spread_of([run[0] * 1000 for run in runs], 'ms')} (longest step "
+        f"{spread_of([run[1] * 1000 for run in runs], 'ms')})"
+    )
+
+
 def apply_all(manifest: Manifest) -> None:
     """Apply a manifest in the parts that derive something from it."""
     limits = Limits()
@@ -479,6 +571,47 @@
         )
 
 
+def delta_memory() -> None:
+    """Memory of a full delta log, and the peak while a delta is taken."""
+    tracemalloc.start()
+    log = DeltaLog()
+    for base in range(1, MAX_DELTAS + 1):
+        edits = [TextEdit(base * 1000, 1, b"%d" % base) for _ in range(5)]
+        log.append(ManifestDelta(base, base + 1, bytes(base % 32) * 32, edits))
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    print(f"memory of a log of {len(log.since(1))} deltas of 5 edits {size} bytes")
+    for hosts, sites, blocks in (
+        (7, 40, 0),
+        (2900, 1200, 0),
+        (2900, 1200, 100_000),
+        (2900, 1200, 400_000),
+    ):
+        data = large_manifest(hosts, sites, blocks, regions=3 if hosts == 7 else 35)
+        old = text_of(data)
+        known = read_manifest(old).expect("a manifest without faults")
+        change_cap(data)
+        new = text_of(data)
+        body = zlib.compress(new.encode())
+        reply = finish(make_reply(old, new))
+        whole = peak_bytes(take_whole(body))
+        delta = peak_bytes(take_reply(old, reply, known))
+        print(
+            f"peak above the version in force, {hosts} hosts, {sites} sites, {blocks} "
+            f"blocks, text {len(old) / 1e6:.2f} MB: whole {whole / 1e6:.2f} MB, delta "
+            f"{delta / 1e6:.2f} MB"
+        )
+
+
+def peak_bytes(steps: Steps[object]) -> int:
+    """Return the most memory that a computation used."""
+    tracemalloc.start()
+    finish(steps)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak
+
+
 PARTS: Final[dict[str, Callable[[], None]]] = {
     function.__name__: function
     for function in (
@@ -487,11 +620,13 @@
         leases,
         membership,
         spread,
+        deltas,
         measurements,
         store,
         tool,
         starts,
         memory,
+        delta_memory,
     )
 }
 
--- a/samphirebend/messages.capnp
+++ b/samphirebend/messages.capnp
@@ -68,11 +68,28 @@
   host @3 :Text;
 }
 
+# A base of 0 asks for the whole text.
 struct ManifestRequest {
   version @0 :UInt64;
+  base @1 :UInt64;
 }
 
+# Either a body or a chain of deltas; neither if the version is unknown.
 struct ManifestReply {
   version @0 :UInt64;
   body @1 :Data;
+  deltas @2 :List(ManifestDelta);
+}
+
+struct ManifestDelta {
+  base @0 :UInt64;
+  version @1 :UInt64;
+  digest @2 :Data;
+  edits @3 :List(TextEdit);
+}
+
+struct TextEdit {
+  start @0 :UInt32;
+  removed @1 :UInt32;
+  inserted @2 :Data;
 }
--- a/samphirebend/spread.py
+++ b/samphirebend/spread.py
@@ -1,8 +1,9 @@
 """The manifest version in force on this host, and the commit of new ones.
 
 A version is accepted by one transaction in the table service. Hosts learn of
-it from the table and from heartbeats and replies of peers, fetch its text from
-a peer or the table, check it and apply it. A lower version is never applied.
+it from the table and from heartbeats and replies of peers, fetch the deltas to
+it from a peer or the table, or its whole text where these cannot be had or
+don't apply, check the text and apply it. A lower version is never applied.
 """
 
 from __future__ import annotations
@@ -10,9 +11,7 @@
 import math
 import random
 import time
-import zlib
-from collections.abc import Callable
-from enum import Enum, unique
+from collections.abc import Callable, Sequence
 from typing import Any, Final, TypeVar
 
 from loguru import logger
@@ -20,23 +19,35 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from .deltas import DeltaLog, apply_steps, make_delta_steps, size_of
 from .jsonfile import Fault
-from .manifest import MAX_MANIFEST_BYTES, Manifest, read_manifest_steps
+from .manifest import Manifest, read_manifest_steps
+from .manifesttable import (
+    CommitFault,
+    CommitFaultKind,
+    HistoryEntry,
+    ManifestTable,
+    deflate_steps,
+    inflate,
+    unavailable,
+)
 from .options import Options
 from .peers import PeerService, Respond
 from .slices import Steps, finish, finish_in_slices
-from .store import Row, RowWrite, StoreFault, TableStore
-from .wire import Heartbeat, HeartbeatReply, ManifestReply, ManifestRequest
+from .store import StoreFault, TableStore
+from .wire import (
+    Heartbeat,
+    HeartbeatReply,
+    ManifestDelta,
+    ManifestReply,
+    ManifestRequest,
+)
 
-# Row with the highest accepted version and its commit id, without the text,
-# so that the frequent polls stay small.
-CURRENT_KEY: Final = "manifest#current"
 FRESH_S: Final = 3.0
 PEER_FETCH_TIMEOUT_S: Final = 1.0
 # Wait after a fetch that brought nothing usable; without it, every heartbeat of
 # every peer would fetch a version that this host cannot read.
 FETCH_RETRY_S: Final = 0.5
-MAX_HISTORY: Final = 20
 # Table polls of all hosts together. The table serves about two thousand reads
 # a second, and takeovers and starts of daemons need most of them.
 POLLS_PER_S: Final = 500
@@ -44,7 +55,6 @@
 MAX_POLL_S: Final = 6.0
 # Shorter texts are checked in one go, which takes at most about 15 ms.
 SLICED_CHARS: Final = 64 * 1024
-COMPRESS_CHARS: Final = 128 * 1024
 CHECK_WAIT_S: Final = 0.05
 
 T = TypeVar("T")
@@ -61,72 +71,25 @@
         self.text = text
 
 
-@unique
-class CommitFaultKind(Enum):
-    """Why a commit was not confirmed."""
-
-    INVALID = "INVALID"
-    CONFLICT = "CONFLICT"
-    UNAVAILABLE = "UNAVAILABLE"
-
-
-class CommitFault:
-    """A commit that was refused, or whose acceptance is not known."""
-
-    __slots__ = (
-        "base_version",
-        "current_version",
-        "faults",
-        "kind",
-        "may_be_accepted",
-    )
-
-    def __init__(self, kind: CommitFaultKind, base_version: int) -> None:
-        self.kind = kind
-        self.base_version = base_version  # that the commit was to replace
-        self.current_version = 0  # on a conflict, the accepted version
-        self.faults: list[Fault] = []  # of an invalid manifest
-        # True if this call may have been accepted or may still be. Repeating
-        # it with the same commit id and base version is safe in any case.
-        self.may_be_accepted = False
-
-    def __str__(self) -> str:
-        if self.kind is CommitFaultKind.INVALID:
-            return "; ".join(str(fault) for fault in self.faults)
-        if self.kind is CommitFaultKind.CONFLICT:
-            return (
-                f"the commit replaces version {self.base_version}, but version "
-                f"{self.current_version} is current"
-            )
-        if self.may_be_accepted:
-            return "table service unavailable; the commit may have been accepted"
-        return "table service unavailable; the commit was not sent"
-
-
-class HistoryEntry:
-    """An accepted version."""
-
-    __slots__ = ("commit_id", "committed_unix_ms", "text", "version")
-
-    def __init__(
-        self, version: int, commit_id: str, committed_unix_ms: int, text: str
-    ) -> None:
-        self.version = version
-        self.commit_id = commit_id
-        self.committed_unix_ms = committed_unix_ms  # clock of the committing host
-        self.text = text
-
-
 class SpreadCounts:
     """Events since the start, for metrics."""
 
-    __slots__ = ("applied", "from_peers", "from_table", "refused")
+    __slots__ = (
+        "applied",
+        "from_deltas",
+        "from_peers",
+        "from_table",
+        "refused",
+        "refused_deltas",
+    )
 
     def __init__(self) -> None:
         self.applied = 0  # versions applied, from any source
-        self.from_peers = 0  # texts received from peers
-        self.from_table = 0  # texts read from the table
+        self.from_deltas = 0  # versions applied by deltas, from any source
+        self.from_peers = 0  # texts or deltas received from peers
+        self.from_table = 0  # texts or deltas read from the table
         self.refused = 0  # texts that were unreadable or invalid
+        self.refused_deltas = 0  # deltas that did not give a version's text
 
 
 class SpreadService:
@@ -143,13 +106,17 @@
     ) -> None:
         self.counts = SpreadCounts()
         self._store = store
+        self._table = ManifestTable(store)
         self._peers = peers
         self._reactor = reactor
         self._now = now
         self._rng = rng or random.Random()
         self._poll_s = cfg.table_poll_s
         self._in_force: InForce | None = None
-        self._body = b""  # deflated text of the version in force
+        # Deflated text of the version in force; empty after a delta until a
+        # peer asks for the whole text.
+        self._body = b""
+        self._deltas = DeltaLog()  # that lead to the version in force
         self._highest_heard = 0
         self._offers: dict[str, int] = {}  # peer to the version it reported
         self._evidence_at = -math.inf
@@ -210,79 +177,31 @@
         A repeat with the same text, base version and commit id returns the
         version that was accepted the first time.
         """
-        checked = await self._run(text, read_manifest_steps(text))
+        checked = await self._check(text)
         if isinstance(checked, Err):
             fault = CommitFault(CommitFaultKind.INVALID, base_version)
             fault.faults = checked.err_value
             return Err(fault)
-        read = await self._store.get(CURRENT_KEY)
+        read = await self._table.current()
         if isinstance(read, Err):
-            return Err(_unavailable(base_version, may_be_accepted=False))
-        current = read.ok_value or Row(CURRENT_KEY, {})
+            return Err(unavailable(base_version, may_be_accepted=False))
+        current = read.ok_value
         if current.number("version") != base_version:
-            return await self._explain_conflict(
+            return await self._table.explain_conflict(
                 text, base_version, commit_id, may_be_accepted=False
             )
-        version = base_version + 1
-        body = await self._run(text, _deflate(text))
-        written = await self._store.commit_rows(
-            [
-                RowWrite(
-                    Row(CURRENT_KEY, {"version": version, "commit_id": commit_id}),
-                    current.revision,
-                ),
-                RowWrite(_make_version_row(version, commit_id, body), 0),
-            ]
-        )
-        if isinstance(written, Ok):
-            self._apply(version, checked.ok_value, text, body)
-            return Ok(version)
-        if written.err_value is StoreFault.CONFLICT:
-            return await self._explain_conflict(
-                text, base_version, commit_id, may_be_accepted=True
-            )
-        return Err(_unavailable(base_version, may_be_accepted=True))
+        body = await self._run(text, deflate_steps(text))
+        delta = await self._make_delta(base_version + 1, text)
+        if delta is not None and delta.base != base_version:
+            delta = None  # this host is behind the version that is replaced
+        accepted = await self._table.accept(current, commit_id, text, body, delta)
+        if isinstance(accepted, Ok):
+            self._apply(accepted.ok_value, checked.ok_value, text, body, [delta])
+        return accepted
 
     async def history(self) -> Result[list[HistoryEntry], StoreFault]:
-        """Return the accepted versions, newest first, at most `MAX_HISTORY`."""
-        read = await self._store.get(CURRENT_KEY)
-        if isinstance(read, Err):
-            return read
-        newest = read.ok_value.number("version") if read.ok_value else 0
-        entries = []
-        for version in range(newest, max(0, newest - MAX_HISTORY), -1):
-            row = await self._store.get(_version_key(version))
-            if isinstance(row, Err):
-                return row
-            if row.ok_value is not None:
-                entries.append(_read_entry(version, row.ok_value))
-        return Ok(entries)
-
-    async def _explain_conflict(
-        self, text: str, base_version: int, commit_id: str, may_be_accepted: bool
-    ) -> Result[int, CommitFault]:
-        """Tell a repeat of an accepted commit from the loser of a race.
-
-        A commit on a base version can only become the next version, whose row
-        never changes, so that row decides.
-        """
-        unavailable = _unavailable(base_version, may_be_accepted)
-        read = await self._store.get(_version_key(base_version + 1))
-        if isinstance(read, Err):
-            return Err(unavailable)
-        row = read.ok_value
-        if row is not None:
-            entry = _read_entry(base_version + 1, row)
-            if entry.commit_id == commit_id and entry.text == text:
-                return Ok(entry.version)
-        current = await self._store.get(CURRENT_KEY)
-        if isinstance(current, Err):
-            unavailable.may_be_accepted = False
-            return Err(unavailable)
-        fault = CommitFault(CommitFaultKind.CONFLICT, base_version)
-        if current.ok_value is not None:
-            fault.current_version = current.ok_value.number("version")
-        return Err(fault)
+        """Return the accepted versions, newest first."""
+        return await self._table.history()
 
     def _run_poll(self) -> None:
         Deferred.fromCoroutine(self._poll()).addErrback(_log_failure)
@@ -291,11 +210,10 @@
         """Read the accepted version and schedule the next read."""
         asked_at = self._now()
         try:
-            read = await self._store.get(CURRENT_KEY)
+            read = await self._table.current()
             if isinstance(read, Ok):
                 self._evidence_at = max(self._evidence_at, asked_at)
-                if read.ok_value is not None:
-                    self._hear(read.ok_value.number("version"))
+                self._hear(read.ok_value.number("version"))
             self._fetch_if_behind()
         finally:
             if self._polling:
@@ -355,13 +273,27 @@
                 await self._fetch_from_peer(host, wanted)
 
     async def _fetch_from_table(self, version: int) -> None:
-        read = await self._store.get(_version_key(version))
-        if isinstance(read, Ok) and read.ok_value is not None:
+        base = self.version()
+        deltas = await self._table.deltas(base, version) if base else []
+        if deltas:
+            self.counts.from_table += 1
+            await self._take_deltas(version, deltas)
+        if self.version() >= version:
+            return
+        body = await self._table.body(version)
+        if body:
             self.counts.from_table += 1
-            await self._take_body(version, read.ok_value.data("body"))
+            await self._take_body(version, body)
 
     async def _fetch_from_peer(self, host: str, version: int) -> None:
-        if not self._peers.send(host, ManifestRequest(version)):
+        """Ask for deltas, and for the whole text if these don't apply."""
+        refused = self.counts.refused_deltas
+        await self._ask_peer(host, version, self.version())
+        if self.counts.refused_deltas > refused and self.version() < version:
+            await self._ask_peer(host, version, 0)
+
+    async def _ask_peer(self, host: str, version: int, base: int) -> None:
+        if not self._peers.send(host, ManifestRequest(version, base)):
             return
         waiting: Deferred[None] = Deferred()
         self._applied = waiting
@@ -378,17 +310,34 @@
             waiting.callback(None)
 
     def _take_request(self, request: ManifestRequest, respond: Respond) -> None:
-        known = self.version() >= request.version and self._in_force is not None
-        if known:
-            respond(ManifestReply(self.version(), self._body))
-        else:
+        in_force = self._in_force
+        if in_force is None or in_force.version < request.version:
             respond(ManifestReply(request.version, b""))
+            return
+        deltas = self._deltas.since(request.base) if request.base else []
+        if deltas and not 0 < len(self._body) < sum(map(size_of, deltas)):
+            respond(ManifestReply(in_force.version, b"", deltas))
+            return
+        sent = Deferred.fromCoroutine(self._send_whole(in_force, respond))
+        sent.addErrback(_log_failure)
+
+    async def _send_whole(self, in_force: InForce, respond: Respond) -> None:
+        body = self._body
+        if not body:
+            body = await self._run(in_force.text, deflate_steps(in_force.text))
+            if in_force is self._in_force:
+                self._body = body
+        respond(ManifestReply(in_force.version, body))
 
     def _take_manifest(self, reply: ManifestReply, respond: Respond) -> None:
-        """Apply a peer's text, also one that arrives after the wait for it."""
-        if reply.body and reply.version > self.version():
+        """Apply a peer's text or deltas, also after the wait for them."""
+        version = reply.version
+        if (reply.body or reply.deltas) and version > self.version():
             self.counts.from_peers += 1
-            taken = Deferred.fromCoroutine(self._take_body(reply.version, reply.body))
+            if reply.body:
+                taken = Deferred.fromCoroutine(self._take_body(version, reply.body))
+            else:
+                taken = Deferred.fromCoroutine(self._take_deltas(version, reply.deltas))
             taken.addErrback(_log_failure)
         self._end_wait(self._applied)
 
@@ -398,6 +347,10 @@
             return finish(steps)
         return await finish_in_slices(steps, lambda: deferLater(self._reactor, 0))
 
+    async def _check(self, text: str) -> Result[Manifest, list[Fault]]:
+        known = self._in_force.manifest if self._in_force else None
+        return await self._run(text, read_manifest_steps(text, known))
+
     async def _take_body(self, version: int, body: bytes) -> None:
         if version in self._checking:
             return
@@ -408,10 +361,10 @@
             self._checking.discard(version)
 
     async def _check_body(self, version: int, body: bytes) -> None:
-        text = _inflate(body)
+        text = inflate(body)
         checked = None
         if text is not None:
-            checked = await self._run(text, read_manifest_steps(text))
+            checked = await self._check(text)
         if text is None or checked is None or isinstance(checked, Err):
             self.counts.refused += 1
             if version not in self._refused:
@@ -420,14 +373,71 @@
                 listed = "; ".join(map(str, faults)) or "unreadable body"
                 logger.error("manifest version {} refused: {}", version, listed)
             return
-        self._apply(version, checked.ok_value, text, body)
+        delta = await self._make_delta(version, text)
+        self._apply(version, checked.ok_value, text, body, [delta])
 
-    def _apply(self, version: int, manifest: Manifest, text: str, body: bytes) -> None:
+    async def _make_delta(self, version: int, text: str) -> ManifestDelta | None:
+        """Return the delta from the version in force, for peers that hold it."""
+        old = self._in_force
+        if old is None or old.version >= version:
+            return None
+        steps = make_delta_steps(old.version, old.text.encode(), version, text.encode())
+        return await self._run(text, steps)
+
+    async def _take_deltas(self, version: int, deltas: list[ManifestDelta]) -> None:
+        if version in self._checking:
+            return
+        self._checking.add(version)
+        try:
+            fault = await self._check_deltas(version, deltas)
+        finally:
+            self._checking.discard(version)
+        if fault is not None:
+            self.counts.refused_deltas += 1
+            what = f"deltas to manifest version {version}"
+            logger.warning("{} refused, asking for the text: {}", what, fault)
+
+    async def _check_deltas(
+        self, version: int, deltas: list[ManifestDelta]
+    ) -> str | None:
+        """Apply deltas; return why they were refused, or None."""
+        old = self._in_force
+        if old is None:
+            return "no version is in force"
+        steps = apply_steps(old.text.encode(), old.version, deltas, version)
+        made = await self._run(old.text, steps)
+        if isinstance(made, Err):
+            return made.err_value
+        try:
+            text = made.ok_value.decode()
+        except UnicodeDecodeError:
+            return "the result is not UTF-8"
+        checked = await self._check(text)
+        if isinstance(checked, Err):
+            return "; ".join(map(str, checked.err_value))
+        if version > self.version():
+            self.counts.from_deltas += 1
+        kept: list[ManifestDelta | None] = [
+            d for d in deltas if d.version > old.version
+        ]
+        self._apply(version, checked.ok_value, text, b"", kept)
+        return None
+
+    def _apply(
+        self,
+        version: int,
+        manifest: Manifest,
+        text: str,
+        body: bytes,
+        deltas: Sequence[ManifestDelta | None],
+    ) -> None:
         if version <= self.version():
             return
         self._hear(version)
         self._in_force = InForce(version, manifest, text)
         self._body = body
+        for delta in deltas:
+            self._deltas.append(delta)
         self.counts.applied += 1
         logger.info("manifest version {} in force", version)
         hosts = list(manifest.hosts.values())
@@ -468,71 +478,5 @@
     return SpreadService(cfg, store, peers, reactor)
 
 
-def _version_key(version: int) -> str:
-    """Return the key of a version's row.
-
-    >>> _version_key(7)
-    'manifest#0000000007'
-    """
-    return f"manifest#{version:010d}"
-
-
-def _make_version_row(version: int, commit_id: str, body: bytes) -> Row:
-    return Row(
-        _version_key(version),
-        {
-            "version": version,
-            "commit_id": commit_id,
-            "committed_unix_ms": int(time.time() * 1000),
-            "body": body,
-        },
-    )
-
-
-def _read_entry(version: int, row: Row) -> HistoryEntry:
-    return HistoryEntry(
-        version,
-        row.text("commit_id"),
-        row.number("committed_unix_ms"),
-        _inflate(row.data("body")) or "",
-    )
-
-
-def _unavailable(base_version: int, may_be_accepted: bool) -> CommitFault:
-    fault = CommitFault(CommitFaultKind.UNAVAILABLE, base_version)
-    fault.may_be_accepted = may_be_accepted
-    return fault
-
-
-def _deflate(text: str) -> Steps[bytes]:
-    """Return the deflated text, in steps.
-
-    >>> zlib.decompress(finish(_deflate("å{}")))
-    b'\xc3\xa5{}'
-    """
-    deflater = zlib.compressobj()
-    parts = []
-    for start in range(0, len(text), COMPRESS_CHARS):
-        parts.append(deflater.compress(text[start : start + COMPRESS_CHARS].encode()))
-        yield
-    return b"".join([*parts, deflater.flush()])
-
-
-def _inflate(body: bytes) -> str | None:
-    """Return the text of a body; None if broken or longer than a manifest.
-
-    >>> _inflate(zlib.compress(b"{}")), _inflate(b"junk")
-    ('{}', None)
-    """
-    inflater = zlib.decompressobj()
-    try:
-        data = inflater.decompress(body, MAX_MANIFEST_BYTES + 1)
-        if not inflater.eof or len(data) > MAX_MANIFEST_BYTES:
-            return None
-        return data.decode()
-    except (zlib.error, UnicodeDecodeError):
-        return None
-
-
 def _log_failure(failure: Any) -> None:
     logger.error("manifest task failed: {}", failure.getTraceback())
--- a/samphirebend/wire.py
+++ b/samphirebend/wire.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from functools import singledispatch
+from itertools import islice
 from pathlib import Path
 from typing import Any, Final
 
@@ -20,6 +21,9 @@
 
 # Bounds the words that a hostile message may make the decoder traverse.
 TRAVERSAL_LIMIT_WORDS: Final = 8 * 1024 * 1024
+# Deltas in a manifest reply, and edits in a delta.
+MAX_DELTAS: Final = 512
+MAX_EDITS: Final = 1_024
 
 
 class ShardLease:
@@ -145,23 +149,66 @@
         self.host = host  # the witness
 
 
+class TextEdit:
+    """Replaces a number of bytes of a text by others; all are UTF-8."""
+
+    __slots__ = ("inserted", "removed", "start")
+
+    def __init__(self, start: int, removed: int, inserted: bytes) -> None:
+        self.start = start  # first replaced byte of the old text
+        self.removed = removed
+        self.inserted = inserted
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, TextEdit)
+            and self.start == other.start
+            and self.removed == other.removed
+            and self.inserted == other.inserted
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.start, self.removed, self.inserted))
+
+    def __repr__(self) -> str:
+        return f"TextEdit({self.start}, {self.removed}, {self.inserted!r})"
+
+
+class ManifestDelta:
+    """The edits, in order of their start, that turn one version into another."""
+
+    __slots__ = ("base", "digest", "edits", "version")
+
+    def __init__(
+        self, base: int, version: int, digest: bytes, edits: list[TextEdit]
+    ) -> None:
+        self.base = base
+        self.version = version
+        self.digest = digest  # of the whole new text
+        self.edits = edits
+
+
 class ManifestRequest:
-    """Asks a peer for a manifest version."""
+    """Asks a peer for a manifest version, as deltas if the peer has them."""
 
-    __slots__ = ("version",)
+    __slots__ = ("base", "version")
 
-    def __init__(self, version: int) -> None:
+    def __init__(self, version: int, base: int = 0) -> None:
         self.version = version
+        self.base = base  # version that the sender holds; 0: send the whole text
 
 
 class ManifestReply:
-    """A manifest version; the body is the deflated text, empty if unknown."""
+    """A manifest version: its whole text or deltas, neither if unknown."""
 
-    __slots__ = ("body", "version")
+    __slots__ = ("body", "deltas", "version")
 
-    def __init__(self, version: int, body: bytes) -> None:
+    def __init__(
+        self, version: int, body: bytes, deltas: list[ManifestDelta] | None = None
+    ) -> None:
         self.version = version
-        self.body = body
+        self.body = body  # the deflated text
+        self.deltas = deltas or []  # each one's base is the version before it
 
 
 Message = (
@@ -258,12 +305,31 @@
 
 @encode.register
 def _(message: ManifestRequest) -> bytes:
-    return _pack("manifestRequest", {"version": message.version})
+    return _pack("manifestRequest", {"version": message.version, "base": message.base})
 
 
 @encode.register
 def _(message: ManifestReply) -> bytes:
-    return _pack("manifestReply", {"version": message.version, "body": message.body})
+    return _pack(
+        "manifestReply",
+        {
+            "version": message.version,
+            "body": message.body,
+            "deltas": [_pack_delta(delta) for delta in message.deltas],
+        },
+    )
+
+
+def _pack_delta(delta: ManifestDelta) -> dict[str, Any]:
+    return {
+        "base": delta.base,
+        "version": delta.version,
+        "digest": delta.digest,
+        "edits": [
+            {"start": x.start, "removed": x.removed, "inserted": x.inserted}
+            for x in delta.edits
+        ],
+    }
 
 
 def decode(data: bytes) -> Message | None:
@@ -324,12 +390,23 @@
 
 
 def _read_manifest_request(envelope: Any) -> ManifestRequest:
-    return ManifestRequest(envelope.manifestRequest.version)
+    raw = envelope.manifestRequest
+    return ManifestRequest(raw.version, raw.base)
 
 
 def _read_manifest_reply(envelope: Any) -> ManifestReply:
     raw = envelope.manifestReply
-    return ManifestReply(raw.version, bytes(raw.body))
+    # One more than allowed shows the receiver that there are too many.
+    deltas = [_read_delta(x) for x in islice(raw.deltas, MAX_DELTAS + 1)]
+    return ManifestReply(raw.version, bytes(raw.body), deltas)
+
+
+def _read_delta(raw: Any) -> ManifestDelta:
+    edits = [
+        TextEdit(x.start, x.removed, bytes(x.inserted))
+        for x in islice(raw.edits, MAX_EDITS + 1)
+    ]
+    return ManifestDelta(raw.base, raw.version, bytes(raw.digest), edits)
 
 
 _READERS: Final[dict[str, Any]] = {
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -12,17 +12,21 @@
 from twisted.internet.task import Clock
 
 from samphirebend.addresses import Address
+from samphirebend.deltas import make_delta_steps
+from samphirebend.manifesttable import CommitFault, CommitFaultKind
 from samphirebend.options import Options
 from samphirebend.peers import PeerService
-from samphirebend.spread import (
-    SLICED_CHARS,
-    CommitFault,
-    CommitFaultKind,
-    InForce,
-    SpreadService,
-)
+from samphirebend.slices import finish
+from samphirebend.spread import SLICED_CHARS, InForce, SpreadService
 from samphirebend.store import Row, StoreFault
-from samphirebend.wire import Heartbeat, HeartbeatReply, ManifestReply, ManifestRequest
+from samphirebend.wire import (
+    Heartbeat,
+    HeartbeatReply,
+    ManifestDelta,
+    ManifestReply,
+    ManifestRequest,
+    TextEdit,
+)
 
 from ..sample_manifest import manifest_text
 
@@ -230,3 +234,62 @@
     for _ in range(100):
         scene.clock.advance(0)
     assert applied == [5]
+
+
+def test_whole_text_is_sent_after_a_delta() -> None:
+    """Guards a peer that has just started: the deflated text was never received."""
+    scene = Scene()
+    scene.manifest(1)
+    changed = manifest_text({"a": Address("127.0.0.1", 1234)}, "changed")
+    delta = finish(make_delta_steps(1, TEXT.encode(), 2, changed.encode()))
+    assert delta is not None
+    reply = ManifestReply(2, b"", [delta])
+    scene.spread._take_manifest(reply, lambda response: None)
+    in_force = scene.spread.current()
+    assert in_force is not None
+    assert (in_force.version, in_force.text) == (2, changed)
+    responses: list[Any] = []
+    for base in (0, 1, 7):
+        scene.spread._take_request(ManifestRequest(2, base), responses.append)
+    whole, by_delta, unknown_base = responses
+    assert zlib.decompress(whole.body).decode() == changed
+    assert [d.version for d in by_delta.deltas] == [2]
+    assert unknown_base.body == whole.body
+
+
+def test_refused_delta_changes_nothing_and_the_whole_text_is_asked_for() -> None:
+    """Guards the version in force against a delta on another text."""
+    scene = Scene()
+    scene.manifest(1)
+    asked: list[tuple[int, int]] = []
+    delta = ManifestDelta(1, 2, bytes(32), [TextEdit(0, 1, b" ")])
+
+    def send(host: str, request: ManifestRequest) -> bool:
+        asked.append((request.base, scene.spread.version()))
+        reply = ManifestReply(2, b"", [delta])
+        if request.base == 0:
+            reply = ManifestReply(2, BODY)
+        scene.clock.callLater(
+            0, scene.spread._take_manifest, reply, lambda response: None
+        )
+        return True
+
+    peers: Any = scene.peers
+    peers.send = send
+    scene.heartbeat(2)
+    scene.clock.advance(0)
+    scene.clock.advance(0)
+    assert asked == [(1, 1), (0, 1)]
+    assert scene.spread.counts.refused_deltas == 1
+    assert scene.spread.version() == 2
+
+
+def test_reply_to_an_older_daemon_is_whole() -> None:
+    """Guards daemons that know no deltas: their request has no base."""
+    scene = Scene()
+    scene.manifest(1)
+    scene.manifest(2)
+    responses: list[Any] = []
+    scene.spread._take_request(ManifestRequest(2), responses.append)
+    assert responses[0].body
+    assert not responses[0].deltas
