--- a/samphirebend/jsonfile.py
+++ b/samphirebend/jsonfile.py
@@ -65,6 +65,7 @@
         return Err(Fault("(file)", "Unicode text", found))
     if size > max_bytes:
         return Err(Fault("(file)", f"at most {max_bytes} bytes", f"{size} bytes"))
+    yield
     try:
         value = pyjson5.decode(text, MAX_DEPTH)
     except pyjson5.Json5Exception as exc:
