Deflate the whole text once for all peers that wait for it

Cause: after a delta the deflated text is made again on the first question.

Change: questions that arrive during a deflation wait for its result.

--- a/samphirebend/spread.py
+++ b/samphirebend/spread.py
@@ -116,6 +116,7 @@
         # Deflated text of the version in force; empty after a delta until a
         # peer asks for the whole text.
         self._body = b""
+        self._whole_wanted: list[Respond] = []  # peers that wait for the body
         self._deltas = DeltaLog()  # that lead to the version in force
         self._highest_heard = 0
         self._offers: dict[str, int] = {}  # peer to the version it reported
@@ -318,16 +319,27 @@
         if deltas and not 0 < len(self._body) < sum(map(size_of, deltas)):
             respond(ManifestReply(in_force.version, b"", deltas))
             return
-        sent = Deferred.fromCoroutine(self._send_whole(in_force, respond))
-        sent.addErrback(_log_failure)
+        if self._body:
+            respond(ManifestReply(in_force.version, self._body))
+            return
+        self._whole_wanted.append(respond)
+        if len(self._whole_wanted) == 1:
+            sent = Deferred.fromCoroutine(self._send_whole(in_force))
+            sent.addErrback(_log_failure)
+
+    async def _send_whole(self, in_force: InForce) -> None:
+        """Deflate the text once for all peers that ask meanwhile.
 
-    async def _send_whole(self, in_force: InForce, respond: Respond) -> None:
-        body = self._body
-        if not body:
+        Many hosts that start together would otherwise each cost a deflation.
+        """
+        try:
             body = await self._run(in_force.text, deflate_steps(in_force.text))
-            if in_force is self._in_force:
-                self._body = body
-        respond(ManifestReply(in_force.version, body))
+        finally:
+            waiting, self._whole_wanted = self._whole_wanted, []
+        if in_force is self._in_force:
+            self._body = body
+        for respond in waiting:
+            respond(ManifestReply(in_force.version, body))
 
     def _take_manifest(self, reply: ManifestReply, respond: Respond) -> None:
         """Apply a peer's text or deltas, also after the wait for them."""
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+import random
 import zlib
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from hypothesis import given, settings, strategies as st
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from samphirebend import spread as spread_module
 from samphirebend.addresses import Address
 from samphirebend.deltas import make_delta_steps
-from samphirebend.manifesttable import CommitFault, CommitFaultKind
+from samphirebend.manifesttable import CommitFault, CommitFaultKind, deflate_steps
 from samphirebend.options import Options
 from samphirebend.peers import PeerService
-from samphirebend.slices import finish
+from samphirebend.slices import Steps, finish
 from samphirebend.spread import SLICED_CHARS, InForce, SpreadService
 from samphirebend.store import Row, StoreFault
 from samphirebend.wire import (
@@ -257,6 +260,38 @@
     assert unknown_base.body == whole.body
 
 
+def test_text_is_deflated_once_for_all_that_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the processor when many hosts start at once after a failure."""
+    deflations: list[str] = []
+
+    def counted(text: str) -> Steps[bytes]:
+        deflations.append(text)
+        return (yield from deflate_steps(text))
+
+    monkeypatch.setattr(spread_module, "deflate_steps", counted)
+    scene = Scene()
+    # Random texts take several slices to deflate.
+    padding = random.Random(1).randbytes(2_000_000).hex()
+    scene.manifest(1, zlib.compress(f"{TEXT}//{padding}".encode()))
+    for _ in range(100):
+        scene.clock.advance(0)
+    assert scene.spread.version() == 1
+    scene.spread._body = b""  # as after a delta
+    responses: list[Any] = []
+    for _ in range(3):
+        scene.spread._take_request(ManifestRequest(1), responses.append)
+    assert not responses
+    for _ in range(100):
+        scene.clock.advance(0)
+    assert len(deflations) == 1
+    assert len({id(response.body) for response in responses}) == 1
+    assert len(responses) == 3
+    scene.spread._take_request(ManifestRequest(1), responses.append)
+    assert (len(deflations), len(responses)) == (1, 4)
+
+
 def test_refused_delta_changes_nothing_and_the_whole_text_is_asked_for() -> None:
     """Guards the version in force against a delta on another text."""
     scene = Scene()
