Test that a field which is no text prevents the reuse of blocks

Change: an entry with an additional number is refused also if the other fields are those of the manifest in force. The test fails without the condition.

--- a/tests/unit/test_blocks.py
+++ b/tests/unit/test_blocks.py
@@ -200,6 +200,7 @@
     same_faults(renamed.replace('["r1", "r2"]', '["r1", "r3"]'), known)
     # The same letters, divided between a field and its value in another way.
     same_faults(with_blocks({"prefix": "es" + prefixes(50), "region": "r2"}), known)
+    same_faults(with_blocks({**blocks, "note": 5}), known)
     same_faults(with_blocks({**blocks, "note": "\ud800"}), known)
     same_faults(with_blocks({**blocks, "prefixes": "\ud800"}), known)
 
