--- a/samphirebend/jsonfile.py
+++ b/samphirebend/jsonfile.py
@@ -65,6 +65,7 @@
         return Err(Fault("(file)", "Unicode text", found))
     if size > max_bytes:
         return Err(Fault("(file)", f"at most {max_bytes} bytes", f"{size} bytes"))
+    yield
     try:
         value = pyjson5.decode(text, MAX_DEPTH)
     except pyjson5.Json5Exception as exc:
@@ -206,6 +207,11 @@
         self._seen.add(field)
         return field in self._data
 
+    def value(self, field: str) -> object:
+        """Return a field's value as it was parsed; None if missing."""
+        self._seen.add(field)
+        return self._data.get(field)
+
     def _take(self, field: str, expected: str, default: object) -> Any:
         """Return the value or the default; _MISSING if there is neither."""
         self._seen.add(field)
