Split tests/cluster.py by job and share the start-up of the stand-ins

Cause: tests/cluster.py had 593 lines and five jobs (ports and processes, HTTP, manifests, control of the stand-ins, verdict), so that the tests of the stand-ins and three integration tests wrote process handling and HTTP calls of their own; upstream.py and fault_proxy.py each had a start-up of their own. Ruled out: importing everything from its new place; bench/ and two tests that others change import from tests.cluster, which names those parts in __all__. Change: processes.py (ports, Child, ProcessGroup), httpcalls.py, manifests.py, verdict.py, standins/launch.py (StandIns starts and controls the stand-ins), standins/serving.py (start-up, control port, reset of a connection; formerly control.py); cluster.py keeps the daemons. test_standins.py uses StandIns. The options of the upstream's command line that nothing used are gone. Settings and rules that a stand-in refuses now fail the test that sent them.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -368,7 +368,7 @@
 def store() -> None:
     """Calls of the table service by the number in flight."""
     with tempfile.TemporaryDirectory() as folder, Lab(Path(folder)) as lab:
-        lab._start_table()
+        lab.start_table()
         for in_flight in (1, 4, 16):
             args = (f"http://{lab.table}", 600, in_flight)
             runs = []
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -63,7 +63,7 @@
         status, answer = cluster.commit(cluster.manifest, 0, "demo")
         assert status == 200, answer
     else:
-        path = cluster.write_manifest()
+        path = cluster.write_json("manifest", cluster.manifest)
         admin = next(iter(cluster.settings.values()))["admin_address"]
         tool = [sys.executable, "-m", "samphirebend.cli"]
         args = ["commit", str(path), "--admin", admin, "--base", "0"]
@@ -133,10 +133,7 @@
     with Cluster(folder, manifest, settings, proxied=proxied, seed=seed) as cluster:
         cluster.start(commit=False)
         commit(cluster)
-        services = [service["name"] for service in manifest["services"]]
-        for host in cluster.hosts:
-            for service in services:
-                cluster.wait_lookup(host, service)
+        cluster.wait_lookups()
         print(
             f"{user}, seed {seed}: {len(cluster.hosts)} hosts, {LOAD_S:.0f} s of load"
         )
--- /dev/null
+++ b/tests/httpcalls.py
@@ -0,0 +1,48 @@
+"""Blocking HTTP calls of tests to daemons and stand-ins."""
+
+from __future__ import annotations
+
+import http.client
+from typing import Any, NamedTuple
+
+import msgspec
+
+
+class Answer(NamedTuple):
+    """A complete answer."""
+
+    status: int
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+
+
+def call(
+    method: str,
+    address: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Answer:
+    """Send one request on a connection of its own."""
+    conn = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        conn.request(method, path, body, headers or {})
+        response = conn.getresponse()
+        named = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, named, response.read())
+    finally:
+        conn.close()
+
+
+def http_json(
+    method: str, address: str, path: str, data: object = None, timeout_s: float = 5.0
+) -> tuple[int, Any]:
+    """Send one request; return its status and its decoded JSON or raw bytes."""
+    body = None if data is None else msgspec.json.encode(data)
+    headers = {"Content-Type": "application/json"} if body else {}
+    answer = call(method, address, path, body, headers, timeout_s)
+    try:
+        return answer.status, msgspec.json.decode(answer.body)
+    except msgspec.DecodeError:
+        return answer.status, answer.body
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -18,6 +18,7 @@
 import pytest
 
 from tests.cluster import Cluster, broken_conditions, eventually, small_manifest
+from tests.httpcalls import call
 from tests.standins.upstream import answer_body
 
 SEED: Final = int(os.environ.get("AT_MOST_ONCE_SEED", "1"))
@@ -68,19 +69,17 @@
         headers = {"Request-Id": self.name, **headers}
         if self.key:
             headers["Idempotency-Key"] = self.key
-        conn = http.client.HTTPConnection(self.cluster.entries[host], timeout=8)
+        entry = self.cluster.entries[host]
         try:
-            conn.request("POST", self.path, b"ruling", headers)
-            response = conn.getresponse()
-            body, get = response.read(), response.headers.get
+            answer = call("POST", entry, self.path, b"ruling", headers, timeout_s=8)
         except (OSError, http.client.HTTPException):
             return "", "", ""
-        finally:
-            conn.close()
-        outcome, kind = get("Request-Outcome", ""), get("Error-Kind", "")
-        if outcome == "done" and body != answer_body(self.name, self.name, SIZE):
+        get = answer.headers.get
+        outcome, kind = get("request-outcome", ""), get("error-kind", "")
+        own = answer_body(self.name, self.name, SIZE)
+        if outcome == "done" and answer.body != own:
             outcome = "wrong"
-        return outcome, kind, get("Next-Idempotency-Key", "")
+        return outcome, kind, get("next-idempotency-key", "")
 
     def _tell(self, host: str, headers: dict[str, str]) -> str:
         outcome, kind, _ = self._exchange(host, headers)
--- a/tests/integration/test_end_to_end.py
+++ b/tests/integration/test_end_to_end.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from tests.cluster import Cluster, small_manifest
+from tests.httpcalls import call
 
 
 @pytest.fixture(scope="module")
@@ -19,47 +19,27 @@
         yield running
 
 
-Answer = tuple[int, dict[str, str], bytes]
-
-
-def call(
-    address: str,
-    method: str,
-    path: str,
-    body: bytes | None = None,
-    headers: dict[str, str] | None = None,
-) -> Answer:
-    conn = http.client.HTTPConnection(address, timeout=10)
-    try:
-        conn.request(method, path, body, headers or {})
-        response = conn.getresponse()
-        named = {name.lower(): value for name, value in response.getheaders()}
-        return response.status, named, response.read()
-    finally:
-        conn.close()
-
-
 def test_lookup_names_a_host_of_the_callers_region(cluster: Cluster) -> None:
     for address in cluster.entries.values():
-        status, _, body = call(address, "GET", "/v1/lookup?service=read&region=south")
+        status, _, body = call("GET", address, "/v1/lookup?service=read&region=south")
         assert status == 200
         assert b'"host":"south-0"' in body
 
 
 def test_read_is_answered_through_every_host(cluster: Cluster) -> None:
     for address in cluster.entries.values():
-        status, headers, body = call(address, "GET", "/v1/services/read/a?size=1000")
+        status, headers, body = call("GET", address, "/v1/services/read/a?size=1000")
         assert (status, headers["request-outcome"], len(body)) == (200, "done", 1000)
 
 
 def test_repeat_through_another_host_does_not_run_again(cluster: Cluster) -> None:
     first, *others = cluster.entries.values()
     path = "/v1/services/write/register?ledger_id=repeat"
-    status, headers, _ = call(first, "POST", path, b"ruling")
+    status, headers, _ = call("POST", first, path, b"ruling")
     assert (status, headers["request-outcome"]) == (428, "did-not-run")
     key = {"Idempotency-Key": headers["next-idempotency-key"]}
-    answers = [call(first, "POST", path, b"ruling", key)]
-    answers += [call(address, "POST", path, b"ruling", key) for address in others]
+    answers = [call("POST", first, path, b"ruling", key)]
+    answers += [call("POST", address, path, b"ruling", key) for address in others]
     assert {status for status, _, _ in answers} == {200}
     assert len({body for _, _, body in answers}) == 1
     assert len(cluster.ledger()["repeat"]) == 1
@@ -68,10 +48,10 @@
 def test_key_with_another_body_is_refused(cluster: Cluster) -> None:
     address = next(iter(cluster.entries.values()))
     path = "/v1/services/write/register?ledger_id=mismatch"
-    _, headers, _ = call(address, "POST", path, b"one")
+    _, headers, _ = call("POST", address, path, b"one")
     key = {"Idempotency-Key": headers["next-idempotency-key"]}
-    assert call(address, "POST", path, b"one", key)[0] == 200
-    status, headers, _ = call(address, "POST", path, b"two", key)
+    assert call("POST", address, path, b"one", key)[0] == 200
+    status, headers, _ = call("POST", address, path, b"two", key)
     assert (status, headers["error-kind"]) == (422, "KEY_MISMATCH")
     assert len(cluster.ledger()["mismatch"]) == 1
 
@@ -81,7 +61,7 @@
     before = cluster.children[host].peak_memory_kb()
     body = bytes(200_000_000)
     path = "/v1/services/upload/scan?ledger_id=large"
-    status, headers, _ = call(address, "PUT", path, body)
+    status, headers, _ = call("PUT", address, path, body)
     assert (status, headers["request-outcome"]) == (200, "done")
     assert cluster.ledger()["large"][0]["bytes"] == len(body)
     assert cluster.children[host].peak_memory_kb() - before <= 16 * 1024
@@ -89,5 +69,5 @@
 
 def test_unknown_service_is_refused(cluster: Cluster) -> None:
     address = next(iter(cluster.entries.values()))
-    status, headers, _ = call(address, "GET", "/v1/services/nothing/a")
+    status, headers, _ = call("GET", address, "/v1/services/nothing/a")
     assert (status, headers["error-kind"]) == (404, "UNKNOWN_SERVICE")
--- a/tests/integration/test_manifest.py
+++ b/tests/integration/test_manifest.py
@@ -150,8 +150,7 @@
 
 
 def start_tool(cluster: Cluster, host: str, base: int, number: int, *args: str) -> Tool:
-    path = cluster.folder / f"manifest-{host}.json"
-    path.write_bytes(msgspec.json.encode(changed(cluster, number)))
+    path = cluster.write_json(f"manifest-{host}", changed(cluster, number))
     admin = cluster.settings[host]["admin_address"]
     command = ["commit", str(path), "--admin", admin, "--base", str(base), "--json"]
     return subprocess.Popen(
@@ -188,7 +187,7 @@
         cluster.table_fault(delay_ms=0)
         watch.wait(base + 1)
         assert newest(cluster) == base + 1
-    conflicts = table_count(cluster, "TransactionCanceledException")
+    conflicts = cluster.table_counts().get("TransactionCanceledException", 0)
     assert conflicts >= ROUNDS - 1  # the writes truly met
 
 
@@ -196,10 +195,6 @@
     return ended[0]
 
 
-def table_count(cluster: Cluster, name: str) -> int:
-    return int(http_json("GET", cluster.table, "/_counts")[1].get(name, 0))
-
-
 def test_commit_whose_acknowledgement_is_lost_counts_once(
     cluster: Cluster, watch: Watch
 ) -> None:
@@ -210,11 +205,13 @@
     assert end_tool(tool)[0] == 0
     # Lost between daemon and tool: the tool dies once the table has the write.
     cluster.table_fault(delay_ms=700)
-    writes = table_count(cluster, "TransactWriteItems")
+    writes = cluster.table_counts().get("TransactWriteItems", 0)
     again = ("--commit-id", "lost-2")
     tool = start_tool(cluster, "north-1", base + 1, 201, *again)
     eventually(
-        lambda: table_count(cluster, "TransactWriteItems") > writes, 10, "the write"
+        lambda: cluster.table_counts().get("TransactWriteItems", 0) > writes,
+        10,
+        "the write",
     )
     tool.kill()
     tool.communicate()
@@ -235,7 +232,7 @@
     cluster.start_daemon("south-1")
     watch.latest["south-1"] = 0
     watch.wait(version)
-    assert table_count(cluster, "dropped") > 0
+    assert cluster.table_counts().get("dropped", 0) > 0
 
 
 def test_frozen_host_does_not_decide_by_its_old_version(
--- a/tests/integration/test_measurements.py
+++ b/tests/integration/test_measurements.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -38,24 +39,20 @@
     return manifest
 
 
-def start(folder: Path, manifest: Data) -> Cluster:
-    """Return a running cluster with its upstreams behind the fault proxy."""
+@contextmanager
+def run_cluster(folder: Path, manifest: Data) -> Iterator[Cluster]:
+    """Run a cluster with its upstreams behind the fault proxy."""
     print(f"seed {SEED}")
-    cluster = Cluster(folder, manifest, proxied=("upstream",), seed=SEED)
-    try:
+    with Cluster(folder, manifest, proxied=("upstream",), seed=SEED) as cluster:
         cluster.start()
-        for host in cluster.hosts:
-            for service in SERVICES:
-                cluster.wait_lookup(host, service)
-    except BaseException:
-        cluster.close()
-        raise
-    return cluster
+        cluster.wait_lookups()
+        yield cluster
 
 
 @pytest.fixture
 def north(tmp_path: Path) -> Iterator[Cluster]:
-    with start(tmp_path, make_manifest({"north": 2}, upstreams=UPSTREAMS)) as running:
+    manifest = make_manifest({"north": 2}, upstreams=UPSTREAMS)
+    with run_cluster(tmp_path, manifest) as running:
         yield running
 
 
@@ -114,7 +111,7 @@
 def test_attempts_stay_within_the_budget_in_a_brown_out(tmp_path: Path) -> None:
     """Guards against retries that multiply the load, also through relays."""
     regions = {"north": 2, "south": 2}
-    with start(tmp_path, make_manifest(regions, upstreams=UPSTREAMS)) as cluster:
+    with run_cluster(tmp_path, make_manifest(regions, upstreams=UPSTREAMS)) as cluster:
         for name in arrivals(cluster):
             fault = "fail_share" if name.startswith("upload") else "shed"
             cluster.control(name, **{fault: 0.5}, work_ms=150)
@@ -143,7 +140,7 @@
     # five or more it does not end in time.
     settings = {"cold_s": 4.0, "cold_factor": 2.0, "cold_crowding": True}
     manifest = make_manifest({"north": 2}, upstreams=4, slots=10)
-    with start(tmp_path, manifest) as north:
+    with run_cluster(tmp_path, manifest) as north:
         check_ramp(north, cold, settings)
 
 
@@ -173,7 +170,7 @@
     """Guards against a shift of traffic that overloads the region it goes to."""
     cap = 32
     manifest = make_manifest({"north": 2, "south": 2}, upstreams=4, slots=10, cap=cap)
-    with start(tmp_path, manifest) as cluster:
+    with run_cluster(tmp_path, manifest) as cluster:
         cluster.control("*", work_ms=200)
         # Together they would take 36 of the 32 that the cap allows.
         loads = {"south": load("read", 60, "south"), "north": load("read", 120)}
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import hashlib
-import http.client
 import signal
 import threading
 import time
@@ -26,6 +25,7 @@
     http_json,
     small_manifest,
 )
+from tests.httpcalls import call
 
 REGIONS = {"north": 3, "middle": 2, "south": 2}
 PART = bytes(range(256)) * 4096
@@ -67,9 +67,7 @@
     assert not not_done, not_done[:3]
     broken = [record["id"] for record in records if "" in record["told"].values()]
     assert not broken, broken  # connections that broke with a request on them
-    unsent = [
-        record["id"] for record in records if "not-sent" in record["told"].values()
-    ]
+    unsent = [r["id"] for r in records if "not-sent" in r["told"].values()]
     assert not unsent, unsent  # no look-up that is still valid names a closed port
     for name, row in cluster.counts()["upstreams"].items():
         assert (row["cancelled"], row["partial_bodies"]) == (0, 0), name
@@ -94,15 +92,11 @@
             time.sleep(self.pause_s)
 
     def _run(self) -> None:
-        conn = http.client.HTTPConnection(self.address, timeout=30)
         headers = {"Content-Length": str(PARTS * len(PART)), "Ledger-Id": "slow"}
         path = "/v1/services/upload/scan?size=10"
-        conn.request("PUT", path, self._parts(), headers)
-        response = conn.getresponse()
-        self.status = response.status
-        self.outcome = response.getheader("Request-Outcome", "")
-        response.read()
-        conn.close()
+        answer = call("PUT", self.address, path, self._parts(), headers, timeout_s=30)
+        self.status = answer.status
+        self.outcome = answer.headers.get("request-outcome", "")
 
 
 def look_up(cluster: Cluster, host: str) -> tuple[str, float]:
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -34,16 +34,10 @@
     """Guards against partial, foreign and late answers passed on as whole."""
     print(f"seed {SEED}")
     manifest = small_manifest({"north": 2, "south": 2}, 4, SLOTS, timeout_ms=1000)
-    with Cluster(
-        tmp_path,
-        manifest,
-        proxied=("upstream", "relay"),
-        seed=SEED,
-    ) as cluster:
+    kinds = ("upstream", "relay")
+    with Cluster(tmp_path, manifest, proxied=kinds, seed=SEED) as cluster:
         cluster.start()
-        for host in cluster.hosts:
-            for service in ("read", "write", "upload"):
-                cluster.wait_lookup(host, service)
+        cluster.wait_lookups()
         cluster.control("*", work_ms=5)
         cluster.fault("damage", answer_faults=FAULTY_SHARE)
         callers = []
@@ -56,15 +50,12 @@
             cluster.start_caller(callers[-1], loads=plan, duration_s=60, seed=seed)
         results = [cluster.result(name) for name in callers]
         records = [record for name in callers for record in cluster.records(name)]
-        eventually(
-            lambda: (
-                not any(
-                    row["in_flight"] for row in cluster.counts()["upstreams"].values()
-                )
-            ),
-            5.0,
-            "no request in flight at an upstream",
-        )
+
+        def idle() -> bool:
+            rows = cluster.counts()["upstreams"].values()
+            return not any(row["in_flight"] for row in rows)
+
+        eventually(idle, 5.0, "no request in flight at an upstream")
         broken = broken_conditions(records, cluster.ledger())
         faults = cluster.links()["faults"]
         print(f"{faults}\n{results}")
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,168 @@
+"""Child processes of a test, and the loopback addresses that they use."""
+
+from __future__ import annotations
+
+import ctypes
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final, Self
+
+import msgspec
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S: Final = 15.0
+PR_SET_PDEATHSIG: Final = 1
+
+# Below the ephemeral range, so that no outgoing connection takes a port first.
+_ports = itertools.cycle(range(10_000, 32_000))
+_libc = ctypes.CDLL(None)
+
+
+def own_ip(index: int = 0) -> str:
+    """Return one of 60 loopback addresses that no other test process uses."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 10) % 64}.{pid >> 2 & 255}.{(pid & 3) * 64 + index + 1}"
+
+
+def free_port(ip: str) -> int:
+    """Return a port of the address that nothing listens on."""
+    for port in _ports:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError
+
+
+def eventually(check: Callable[[], object], timeout_s: float, what: str) -> float:
+    """Wait until `check` is true; return the seconds that it took."""
+    start = time.monotonic()
+    while time.monotonic() - start < timeout_s:
+        if check():
+            return time.monotonic() - start
+        time.sleep(0.02)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+def _end_with_parent() -> None:
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Child:
+    """A Python module that runs as a process, with its output files."""
+
+    def __init__(self, name: str, module: str, args: list[str], folder: Path) -> None:
+        self.name = name
+        self.out = folder / f"{name}.out"
+        self.log = folder / f"{name}.log"
+        with self.out.open("wb") as out, self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=log,
+                preexec_fn=_end_with_parent,
+            )
+        self.pid = self.process.pid
+
+    def running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process.poll() is None
+
+    def first_line(self, timeout_s: float = START_TIMEOUT_S) -> dict[str, Any]:
+        """Wait for the JSON line that a stand-in prints once it listens."""
+        self.wait_for(lambda: b"\n" in self.out.read_bytes(), timeout_s)
+        line: dict[str, Any] = msgspec.json.decode(
+            self.out.read_bytes().splitlines()[0]
+        )
+        return line
+
+    def wait_for(self, check: Callable[[], object], timeout_s: float) -> None:
+        """Wait until `check` is true; fail with the log if the process ends."""
+        end = time.monotonic() + timeout_s
+        while not check():
+            if not self.running() or time.monotonic() > end:
+                tail = self.log.read_text(errors="replace")[-2000:]
+                state = self.process.poll()
+                raise AssertionError(f"{self.name} not ready (exit {state}):\n{tail}")
+            time.sleep(0.02)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.running():
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        self.send(signal.SIGKILL)
+        self.process.wait()
+
+    def peak_memory_kb(self) -> int:
+        """Return the highest resident size so far."""
+        status = Path(f"/proc/{self.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0])
+
+
+class ProcessGroup:
+    """Processes that share a folder and end together; a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.children: dict[str, Child] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process, with SIGKILL."""
+        for child in self.children.values():
+            child.send(signal.SIGKILL)
+        for child in self.children.values():
+            child.process.wait()
+
+    def spawn(self, name: str, module: str, *args: object) -> Child:
+        """Start a Python module as a process."""
+        before = self.children.get(name)
+        assert before is None or not before.running(), f"{name} still runs"
+        child = Child(name, module, [str(arg) for arg in args], self.folder)
+        self.children[name] = child
+        return child
+
+    def write_json(self, name: str, data: object) -> Path:
+        """Write a file for a process; return its path."""
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(data))
+        return path
+
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        self.children[name].kill()
+
+    def freeze(self, name: str) -> None:
+        """Suspend a process."""
+        self.children[name].send(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a suspended process continue."""
+        self.children[name].send(signal.SIGCONT)
+
+    def stop(self, name: str, timeout_s: float = 30.0) -> float:
+        """Send SIGTERM; return the seconds until the process ended."""
+        start = time.monotonic()
+        self.children[name].send(signal.SIGTERM)
+        self.children[name].process.wait(timeout_s)
+        return time.monotonic() - start
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -22,7 +22,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from .control import next_event
+from .serving import next_event
 from .upstream import answer_body, content_digest
 
 LOOKUP_TIMEOUT_S = 1.0
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -8,22 +8,16 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import collections
-import contextlib
 import random
-import signal
-import socket
-import struct
 import time
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from .answer_faults import AnswerFaults
-from .control import serve_control
+from .serving import reset_connection, run_stand_in
 
 CHUNK_BYTES = 16384
 QUEUE_BYTES = 1 << 20
@@ -40,7 +34,6 @@
     "answer_faults": 0.0,  # share of HTTP answers that are damaged
     "faults": FAULTS,  # those that `random` chooses from
 }
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 Rule = dict[str, Any]
 
 
@@ -101,10 +94,7 @@
     def reset(self) -> None:
         """Close both ends at once, with a reset."""
         for writer in self.writers:
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def run(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, target: str
@@ -235,6 +225,10 @@
             self.pairs[origin, target] = Pair(rate, delay_s)
         return self.pairs[origin, target]
 
+    async def start(self) -> dict[str, int]:
+        """Open all listeners; return their ports."""
+        return {spec["name"]: await self.listen(spec) for spec in self.listeners}
+
     async def listen(self, spec: dict[str, Any]) -> int:
         """Open one listener; return its port."""
 
@@ -249,8 +243,7 @@
                 self.tunnels.discard(tunnel)
                 writer.close()
 
-        port = spec.get("port", 0)
-        server = await asyncio.start_server(connected, self.host, port, backlog=512)
+        server = await asyncio.start_server(connected, self.host, backlog=512)
         return int(server.sockets[0].getsockname()[1])
 
     def ends(
@@ -307,28 +300,5 @@
         }
 
 
-async def serve(args: argparse.Namespace) -> None:
-    """Serve all listeners until SIGTERM."""
-    plan = msgspec.json.decode(Path(args.config).read_bytes())
-    proxy = Proxy(args.host, args.seed, plan)
-    ports = {spec["name"]: await proxy.listen(spec) for spec in proxy.listeners}
-    control = await serve_control(proxy.control, args.host, args.control_port)
-    line = {"control": control, "ports": ports, "seed": args.seed}
-    print(msgspec.json.encode(line).decode(), flush=True)
-    stopped = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
-    await stopped.wait()
-
-
-def main() -> None:
-    """Read the command line and serve."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--host", default="127.0.0.1")
-    parser.add_argument("--control-port", type=int, default=0)
-    parser.add_argument("--config", required=True, help="JSON with listeners and links")
-    parser.add_argument("--seed", type=int, default=1)
-    asyncio.run(serve(parser.parse_args()))
-
-
 if __name__ == "__main__":
-    main()
+    run_stand_in(Proxy)
--- a/tests/standins/launch.py
+++ b/tests/standins/launch.py
@@ -1,56 +1,171 @@
-"""Starts the stand-in of the table service as a process and controls it."""
+"""Starts the stand-ins as processes and controls them."""
 
 from __future__ import annotations
 
-import json
-import subprocess
-import sys
-import urllib.request
-from types import TracebackType
-from typing import Any
+import tempfile
+from collections.abc import Collection
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from ..httpcalls import http_json
+from ..manifests import Data, all_upstreams
+from ..processes import Child, ProcessGroup, own_ip
+
+TABLE_MODULE: Final = "tests.standins.table_service"
 
 
 class TableService:
-    """A running stand-in; leaving the context ends the process."""
+    """A running table service; leaving the context ends the process."""
 
     def __init__(self, *arguments: str) -> None:
-        self._process = subprocess.Popen(
-            [sys.executable, "-m", "tests.standins.table_service", *arguments],
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-        assert self._process.stdout is not None
-        self.port: int = json.loads(self._process.stdout.readline())["port"]
-        self.url = f"http://127.0.0.1:{self.port}"
+        self._folder = tempfile.TemporaryDirectory()
+        folder = Path(self._folder.name)
+        self._child = Child("table", TABLE_MODULE, list(arguments), folder)
+        self._address = f"127.0.0.1:{self._child.first_line()['port']}"
+        self.url = f"http://{self._address}"
 
     def __enter__(self) -> TableService:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self._process.kill()
-        self._process.wait()
-        assert self._process.stdout is not None
-        self._process.stdout.close()
+    def __exit__(self, *exc_info: object) -> None:
+        self._child.kill()
+        self._folder.cleanup()
 
     def control(self, **faults: Any) -> None:
         """Switch faults on or off, or set the list of upstreams."""
-        self._fetch("/_control", json.dumps(faults).encode())
+        status, answer = http_json("POST", self._address, "/_control", faults)
+        assert status == 200, answer
 
     def counts(self) -> dict[str, int]:
         """Return how often each operation and error occurred."""
-        counts: dict[str, int] = self._fetch("/_counts")
+        counts: dict[str, int] = http_json("GET", self._address, "/_counts")[1]
         return counts
 
-    def endpoint_slices(self) -> dict[str, Any]:
+    def endpoint_slices(self) -> Data:
         """Return the platform's list of upstreams."""
-        slices: dict[str, Any] = self._fetch("/endpointslices")
+        slices: Data = http_json("GET", self._address, "/endpointslices")[1]
         return slices
 
-    def _fetch(self, path: str, body: bytes | None = None) -> Any:
-        with urllib.request.urlopen(self.url + path, body, timeout=5) as response:
-            return json.loads(response.read())
+
+class StandIns(ProcessGroup):
+    """The table service, upstreams, fault proxy and callers of one test."""
+
+    def __init__(self, folder: Path, seed: int = 1) -> None:
+        super().__init__(folder)
+        self.seed = seed
+        self.ip = own_ip()
+        self.controls: dict[str, str] = {}  # upstream process to control address
+        self.proxy = ""  # control address of the fault proxy
+        self.table = ""
+        self.entries: dict[str, str] = {}  # host to the address for callers
+
+    def start_table(self) -> None:
+        """Start the table service."""
+        child = self.spawn("table", TABLE_MODULE)
+        self.table = f"127.0.0.1:{child.first_line()['port']}"
+
+    def start_upstreams(self, groups: dict[str, list[Data]]) -> dict[str, str]:
+        """Start one process for each group; return the upstreams' addresses."""
+        for group, upstreams in groups.items():
+            specs = [{**upstream, "group": group} for upstream in upstreams]
+            self._spawn_configured(f"upstreams-{group}", "upstream", specs)
+        addresses: dict[str, str] = {}
+        for group in groups:
+            self.controls[group], ports = self._wait_listening(f"upstreams-{group}")
+            addresses |= ports
+        return addresses
+
+    def start_proxy(self, listeners: list[Data], links: list[Data]) -> dict[str, str]:
+        """Start the fault proxy; return the listeners' addresses."""
+        plan = {"listeners": listeners, "links": links}
+        self._spawn_configured("proxy", "fault_proxy", plan)
+        self.proxy, addresses = self._wait_listening("proxy")
+        return addresses
+
+    def _spawn_configured(self, name: str, kind: str, config: object) -> None:
+        path = self.write_json(name, config)
+        args = ("--host", self.ip, "--config", path, "--seed", self.seed)
+        self.spawn(name, f"tests.standins.{kind}", *args)
+
+    def _wait_listening(self, name: str) -> tuple[str, dict[str, str]]:
+        """Return a process's control address and its addresses by name."""
+        line = self.children[name].first_line()
+        addresses = {each: f"{self.ip}:{port}" for each, port in line["ports"].items()}
+        return f"{self.ip}:{line['control']}", addresses
+
+    def table_fault(self, **faults: object) -> None:
+        """Switch faults of the table service, as its stand-in names them."""
+        status, answer = http_json("POST", self.table, "/_control", faults)
+        assert status == 200, answer
+
+    def table_counts(self) -> Data:
+        """Return how often each operation of the table service was called."""
+        data: Data = http_json("GET", self.table, "/_counts")[1]
+        return data
+
+    def list_endpoints(self, manifest: Data, leaving: Collection[str] = ()) -> None:
+        """Set the platform's list: all upstreams, those of `leaving` terminating."""
+        endpoints = []
+        for upstream in all_upstreams(manifest):
+            ip, _, port = upstream["address"].rpartition(":")
+            state = {"serving": True, "terminating": upstream["name"] in leaving}
+            endpoints.append({"address": ip, "port": int(port), **state})
+        self.table_fault(endpoints=endpoints)
+
+    def control(self, upstream: str, **changes: object) -> None:
+        """Change an upstream's settings; `*` names all."""
+        for address in self.controls.values():
+            names = http_json("GET", address, "/counts")[1]["upstreams"]
+            if upstream == "*" or upstream in names:
+                change = {upstream: changes}
+                status, answer = http_json("POST", address, "/control", change)
+                assert status == 200, answer
+
+    def counts(self) -> Data:
+        """Return the counts of all upstreams and groups (regions)."""
+        merged: Data = {"upstreams": {}, "groups": {}}
+        for address in self.controls.values():
+            part = http_json("GET", address, "/counts", timeout_s=20)[1]
+            for field in merged:
+                merged[field].update(part[field])
+        return merged
+
+    def ledger(self) -> dict[str, list[Data]]:
+        """Return the runs of each ledger id over all upstreams."""
+        merged: dict[str, list[Data]] = {}
+        for address in self.controls.values():
+            part = http_json("GET", address, "/ledger", timeout_s=20)[1]
+            for ledger_id, runs in part.items():
+                merged.setdefault(ledger_id, []).extend(runs)
+        return merged
+
+    def fault(self, name: str, **rule: object) -> None:
+        """Set a rule of the fault proxy; without a rule, remove it."""
+        status, answer = http_json("POST", self.proxy, "/rules", {name: rule or None})
+        assert status == 200, answer
+
+    def links(self) -> Data:
+        """Return the proxy's connections, faults, and bytes by pair of regions."""
+        data: Data = http_json("GET", self.proxy, "/counts")[1]
+        return data
+
+    def start_caller(self, name: str, **plan: object) -> Child:
+        """Start the load tool; `entries` and `seed` default to the cluster's."""
+        records = str(self.folder / f"{name}.jsonl")
+        defaults = {"entries": list(self.entries.values()), "seed": self.seed}
+        plan = {**defaults, "records": records, **plan}
+        path = self.write_json(f"{name}-plan", plan)
+        return self.spawn(name, "tests.standins.caller", path)
+
+    def result(self, name: str, timeout_s: float = 120.0) -> Data:
+        """Wait for a load tool to end; return its result."""
+        child = self.children[name]
+        child.process.wait(timeout_s)
+        return child.first_line(1.0)
+
+    def records(self, name: str) -> list[Data]:
+        """Return what a load tool recorded of each request."""
+        lines = (self.folder / f"{name}.jsonl").read_bytes().splitlines()
+        return [msgspec.json.decode(line) for line in lines]
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,107 @@
+"""What the stand-ins share: start-up, connections and the control port.
+
+The control port serves JSON over HTTP, one request a connection.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+import h11
+import msgspec
+
+Handler = Callable[[str, str, bytes], object]
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class StandIn(Protocol):
+    """What one process serves."""
+
+    async def start(self) -> dict[str, int]:
+        """Listen; return the ports by name."""
+        ...
+
+    def control(self, method: str, target: str, body: bytes) -> object:
+        """Answer a request on the control port."""
+        ...
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once, with a reset."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+async def next_event(conn: h11.Connection, reader: asyncio.StreamReader) -> object:
+    """Return the connection's next event, reading as much as it needs."""
+    while (event := conn.next_event()) is h11.NEED_DATA:
+        conn.receive_data(await reader.read(65536))
+    return event
+
+
+async def _answer(
+    handler: Handler, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    conn = h11.Connection(h11.SERVER)
+    request = await next_event(conn, reader)
+    if not isinstance(request, h11.Request):
+        return
+    body = b""
+    while isinstance(event := await next_event(conn, reader), h11.Data):
+        body += event.data
+    status, answer = 200, b""
+    try:
+        method, target = request.method.decode(), request.target.decode()
+        answer = msgspec.json.encode(handler(method, target, body))
+    except (ValueError, LookupError, TypeError, AttributeError) as exc:
+        status, answer = 400, msgspec.json.encode({"error": repr(exc)})
+    headers = [("Content-Length", str(len(answer))), ("Connection", "close")]
+    writer.write(conn.send(h11.Response(status_code=status, headers=headers)) or b"")
+    writer.write(answer)
+    await writer.drain()
+
+
+async def _serve_control(handler: Handler, host: str) -> int:
+    """Serve `handler(method, target, body)` as JSON; return the port."""
+
+    async def connected(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await _answer(handler, reader, writer)
+        except (OSError, h11.RemoteProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(connected, host, backlog=256)
+    return int(server.sockets[0].getsockname()[1])
+
+
+async def _serve(stand_in: StandIn, host: str) -> None:
+    """Print the ports as one JSON line, and serve until the process is ended."""
+    ports = await stand_in.start()
+    control = await _serve_control(stand_in.control, host)
+    line = msgspec.json.encode({"control": control, "ports": ports})
+    print(line.decode(), flush=True)
+    await asyncio.Event().wait()
+
+
+def run_stand_in(make: Callable[[str, int, Any], StandIn]) -> None:
+    """Serve what `make(host, seed, config)` returns, as the command line says."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--config", type=Path, required=True, help="JSON file")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    config = msgspec.json.decode(args.config.read_bytes())
+    asyncio.run(_serve(make(args.host, args.seed, config), args.host))
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -6,15 +6,11 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import base64
 import collections
 import hashlib
 import random
-import signal
-import socket
-import struct
 import time
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -22,7 +18,7 @@
 import h11
 import msgspec
 
-from .control import next_event, serve_control
+from .serving import next_event, reset_connection, run_stand_in
 
 SETTABLE = {
     "slots": 3,
@@ -50,7 +46,6 @@
     "crashes",
     "partial_bodies",
 )
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def answer_body(request_id: str, ledger_id: str, size: int) -> bytes:
@@ -104,7 +99,7 @@
         self.process = process
         self.name = str(spec["name"])
         self.group = str(spec.get("group", ""))
-        self.port = int(spec.get("port", 0))
+        self.port = 0
         self.cfg = {**SETTABLE, **{k: v for k, v in spec.items() if k in SETTABLE}}
         self.rng = random.Random(f"{process.seed}/{self.name}")
         self.usage = Usage()
@@ -147,9 +142,7 @@
         self.counts["crashes"] += 1
         self.server.close()
         for writer in self.writers:
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            reset_connection(writer)
         self.drain_at = 0.0
         self.process.spawn(self._restart())
 
@@ -404,6 +397,12 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.upstreams = {s["name"]: Upstream(self, s) for s in specs}
 
+    async def start(self) -> dict[str, int]:
+        """Start all upstreams; return their ports."""
+        for upstream in self.upstreams.values():
+            await upstream.start()
+        return {name: upstream.port for name, upstream in self.upstreams.items()}
+
     def group(self, name: str) -> Usage:
         """Return the usage of all upstreams of one group."""
         return self.groups.setdefault(name, Usage())
@@ -432,50 +431,5 @@
         raise LookupError(target)
 
 
-def _read_specs(args: argparse.Namespace) -> list[dict[str, Any]]:
-    if args.config:
-        with open(args.config, "rb") as file:
-            specs: list[dict[str, Any]] = msgspec.json.decode(file.read())
-        return specs
-    common = {"slots": args.slots, "connections": args.connections}
-    names = [args.name]
-    if args.count > 1:
-        names = [f"{args.name}-{index}" for index in range(args.count)]
-    return [
-        {"name": name, "port": args.port + index if args.port else 0, **common}
-        for index, name in enumerate(names)
-    ]
-
-
-async def serve(args: argparse.Namespace) -> None:
-    """Serve all upstreams until SIGTERM."""
-    process = Process(args.host, args.seed, _read_specs(args))
-    for upstream in process.upstreams.values():
-        await upstream.start()
-    control = await serve_control(process.control, args.host, args.control_port)
-    ports = {name: upstream.port for name, upstream in process.upstreams.items()}
-    first = next(iter(ports.values()))
-    line = {"port": first, "control": control, "ports": ports}
-    print(msgspec.json.encode(line).decode(), flush=True)
-    stopped = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
-    await stopped.wait()
-
-
-def main() -> None:
-    """Read the command line and serve."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--host", default="127.0.0.1")
-    parser.add_argument("--port", type=int, default=0)
-    parser.add_argument("--control-port", type=int, default=0)
-    parser.add_argument("--name", default="upstream")
-    parser.add_argument("--count", type=int, default=1)
-    parser.add_argument("--slots", type=int, default=3)
-    parser.add_argument("--connections", type=int, default=300)
-    parser.add_argument("--config", help="JSON list of upstreams with their settings")
-    parser.add_argument("--seed", type=int, default=1)
-    asyncio.run(serve(parser.parse_args()))
-
-
 if __name__ == "__main__":
-    main()
+    run_stand_in(Process)
