Build the small manifests of all tests in one place

Cause: tests/ had four builders of small manifests (cluster.py, sample_manifest.py, unit/small_manifest.py, unit/test_router.py), each with its own list of all fields. Ruled out: one builder for test_manifest.py too; its manifest is the input of the checks and stays written out. Change: small_manifest() takes the number of connections and the failure domains; give_addresses() fills in the addresses; the other builders use them. Conclusion: the same manifests from one description.

--- a/tests/integration/test_measurements.py
+++ b/tests/integration/test_measurements.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -31,7 +32,7 @@
 TIMEOUT_S = 2.0
 
 
-def make_manifest(regions: dict[str, int], **options: int) -> Data:
+def make_manifest(regions: dict[str, int], **options: Any) -> Data:
     """Return a manifest whose services are all idempotent."""
     manifest = small_manifest(regions, timeout_ms=int(TIMEOUT_S * 1000), **options)
     for service in manifest["services"]:
--- a/tests/manifests.py
+++ b/tests/manifests.py
@@ -29,17 +29,28 @@
     timeout_ms: int = 2000,
     mbit_per_s: int = 280,
     delay_ms: int = 5,
+    connections: int = 300,
+    domains: str = "ab",
 ) -> Data:
     """Return a manifest: hosts by region, and upstreams per service and region.
 
     The services are `read` and `upload` (idempotent) and `write` (at most once).
+    Each letter of `domains` is a failure domain of every region.
     """
+
+    def domain(region: str, index: int) -> str:
+        return f"{region}-{domains[index % len(domains)]}"
+
     return {
         "format": 1,
         "organisation": "test",
         "measure": "headroom",
         "regions": [
-            {"name": r, "max_in_flight": cap, "failure_domains": [f"{r}-a", f"{r}-b"]}
+            {
+                "name": r,
+                "max_in_flight": cap,
+                "failure_domains": [f"{r}-{letter}" for letter in domains],
+            }
             for r in regions
         ],
         "links": [
@@ -47,7 +58,7 @@
             for pair in itertools.combinations(regions, 2)
         ],
         "hosts": [
-            {"name": f"{r}-{i}", "failure_domain": f"{r}-{'ab'[i % 2]}"}
+            {"name": f"{r}-{i}", "failure_domain": domain(r, i)}
             for r, count in regions.items()
             for i in range(count)
         ],
@@ -60,9 +71,9 @@
                 "upstreams": [
                     {
                         "name": f"{service}-{r}-{i}",
-                        "failure_domain": f"{r}-{'ab'[i % 2]}",
+                        "failure_domain": domain(r, i),
                         "slots": slots,
-                        "connections": 300,
+                        "connections": connections,
                     }
                     for r in regions
                     for i in range(upstreams)
--- a/tests/unit/small_manifest.py
+++ b/tests/unit/small_manifest.py
@@ -6,6 +6,8 @@
 
 from samphirebend.manifest import Manifest, check_manifest
 
+from ..manifests import Data, give_addresses, small_manifest
+
 REGIONS = {"north": ["n1", "n2", "n3"], "south": ["s1", "s2"], "west": ["w1", "w2"]}
 
 
@@ -16,53 +18,28 @@
     slots: int = 3,
 ) -> Manifest:
     """Return a manifest with two services in each region."""
-    hosts = hosts or REGIONS
-    port = iter(range(2000, 60000))
-
-    def address() -> str:
-        return f"127.0.0.1:{next(port)}"
-
-    names = sorted(hosts)
-    data = {
-        "format": 1,
-        "organisation": "test",
-        "measure": "latency",
-        "regions": [
-            {"name": name, "max_in_flight": cap, "failure_domains": [f"{name}-a"]}
-            for name in names
-        ],
-        "links": [
-            {"between": [name, other], "mbit_per_s": 281, "delay_ms": 35}
-            for index, name in enumerate(names)
-            for other in names[index + 1 :]
-        ],
-        "hosts": [
-            {"name": host, "failure_domain": f"{name}-a"}
-            | {kind: address() for kind in ("entry", "relay", "peer", "admin")}
-            for name in names
-            for host in hosts[name]
-        ],
-        "services": [
-            {
-                "name": service,
-                "idempotent": True,
-                "timeout_ms": timeout_ms,
-                "max_body_bytes": 1000,
-                "upstreams": [
-                    {
-                        "name": f"{service}-{name}-{index}",
-                        "failure_domain": f"{name}-a",
-                        "address": address(),
-                        "slots": slots,
-                        "connections": 30,
-                    }
-                    for name in names
-                    for index in range(upstreams)
-                ],
-            }
-            for service, timeout_ms in (("read", 1000), ("write", 4000))
-        ],
-    }
+    hosts = dict(sorted((hosts or REGIONS).items()))
+    data = small_manifest(
+        {region: len(names) for region, names in hosts.items()},
+        upstreams,
+        slots,
+        cap,
+        mbit_per_s=281,
+        delay_ms=35,
+        connections=30,
+        domains="a",
+    )
+    read, write, _ = data["services"]
+    data["services"] = [read | {"timeout_ms": 1000}, write | {"timeout_ms": 4000}]
+    names = [name for region in hosts.values() for name in region]
+    for host, name in zip(data["hosts"], names, strict=True):
+        host["name"] = name
+    return read_data(data)
+
+
+def read_data(data: Data) -> Manifest:
+    """Return the manifest of plain data, after giving it addresses."""
+    give_addresses(data)
     checked = check_manifest(data)
-    assert isinstance(checked, Ok), checked
+    assert isinstance(checked, Ok), [str(fault) for fault in checked.err_value]
     return checked.ok_value
--- a/tests/unit/test_blocks.py
+++ b/tests/unit/test_blocks.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock, deferLater
 
+from samphirebend.addresses import Address
 from samphirebend.blocks import BlockList, BlockTable, parse_prefix
 from samphirebend.manifest import Manifest, read_manifest, read_manifest_steps
 from samphirebend.slices import Steps, finish, finish_in_slices
@@ -35,8 +36,7 @@
 
 
 def with_blocks(*blocks: dict[str, Any]) -> str:
-    data = json.loads(manifest_text({}))
-    data["hosts"] = json.loads(manifest_text_with_host())["hosts"]
+    data = json.loads(manifest_text({"h1": Address("127.0.0.1", 7000)}))
     data["caller_blocks"] = list(blocks)
     data["regions"].append(
         {"name": "r2", "max_in_flight": 1, "failure_domains": ["d2"]}
@@ -45,12 +45,6 @@
     return json.dumps(data)
 
 
-def manifest_text_with_host() -> str:
-    from samphirebend.addresses import Address
-
-    return manifest_text({"h1": Address("127.0.0.1", 7000)})
-
-
 def accepted(text: str) -> Manifest:
     checked = read_manifest(text)
     assert isinstance(checked, Ok), [str(fault) for fault in checked.err_value]
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -7,33 +7,25 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
-from result import Ok
 
 from samphirebend.ledger import Ledger
 from samphirebend.limits import Limits
 from samphirebend.links import LinkBudgets
-from samphirebend.manifest import Manifest, check_manifest
+from samphirebend.manifest import Manifest
 from samphirebend.membership import Membership
 from samphirebend.router import Router
 from samphirebend.shards import assign, link_shares
 from samphirebend.upstreamstate import UpstreamStates
 from samphirebend.wire import Heartbeat
-from tests.cluster import small_manifest
+
+from ..manifests import small_manifest
+from .small_manifest import read_data
 
 
 def make_manifest(regions: dict[str, int], blocks: list[Any]) -> Manifest:
     data = small_manifest(regions, upstreams=4)
-    number = 0
-    items = data["hosts"] + [u for s in data["services"] for u in s["upstreams"]]
-    for item in items:
-        fields = ("entry", "relay", "peer", "admin")
-        for field in fields if item in data["hosts"] else ("address",):
-            number += 1
-            item[field] = f"127.0.0.1:{number}"
     data["caller_blocks"] = blocks
-    checked = check_manifest(data)
-    assert isinstance(checked, Ok), [str(fault) for fault in checked.err_value]
-    return checked.ok_value
+    return read_data(data)
 
 
 def make_router(manifest: Manifest, live: list[str]) -> Router:
