Share the set-up of unit tests in fixtures

Cause: tests of the HTTP connections, the health poller, the ledger, the store, the quarantine and the dispatcher repeated their set-up and the end of it in each case; test_admin.py had its own decorators for coroutine tests and copies of CommitFault and CommitFaultKind. Ruled out: a fixture for the ends of links in test_peers.py: it was longer (197 lines instead of 189). A crash in test_quarantine.py now always checks which suspects it names.

--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Callable
-from enum import Enum
+from collections.abc import AsyncIterator
 from types import SimpleNamespace
-from typing import Any, TypeVar, cast
+from typing import Any
 
 import pytest
 import pytest_twisted  # type: ignore[import-untyped]
 import treq
 from result import Err, Ok, Result
-from twisted.internet import reactor
 from twisted.internet.threads import deferToThread
 
 from samphirebend import admin
@@ -22,38 +20,16 @@
 from samphirebend.jsonfile import Fault
 from samphirebend.kernel import Kernel
 from samphirebend.metrics import Metrics
+from samphirebend.spread import CommitFault, CommitFaultKind
 
-TestType = TypeVar("TestType", bound=Callable[..., Any])
+from ..reactor import on_reactor, reactor
 
 
-def async_test(function: TestType) -> TestType:
-    """Run an async test on the reactor."""
-    return cast(TestType, pytest_twisted.ensureDeferred(function))
-
-
-def async_fixture(function: TestType) -> TestType:
-    """Run an async fixture on the reactor."""
-    return cast(TestType, pytest_twisted.async_yield_fixture(function))
-
-
-class FakeKind(Enum):
-    """Same values as `spread.CommitFaultKind`."""
-
-    INVALID = "INVALID"
-    CONFLICT = "CONFLICT"
-    UNAVAILABLE = "UNAVAILABLE"
-
-
-class FakeFault:
-    """Same fields as `spread.CommitFault`."""
-
-    def __init__(self, kind: FakeKind, **fields: Any) -> None:
-        self.kind = kind
-        self.base_version = 7
-        self.current_version = 0
-        self.faults: list[Fault] = []
-        self.may_be_accepted = False
-        self.__dict__.update(fields)
+def make_fault(kind: CommitFaultKind, **fields: Any) -> Err[CommitFault]:
+    fault = CommitFault(kind, 7)
+    for name, value in fields.items():
+        setattr(fault, name, value)
+    return Err(fault)
 
 
 class FakeSpread:
@@ -61,7 +37,7 @@
 
     def __init__(self) -> None:
         self.texts = {6: "six", 7: "seven"}
-        self.answer: Result[int, FakeFault] = Ok(8)
+        self.answer: Result[int, CommitFault] = Ok(8)
         self.commits: list[tuple[str, int, str]] = []
         self.fresh = True
         self.table_up = True
@@ -83,7 +59,7 @@
 
     async def commit(
         self, text: str, base_version: int, commit_id: str
-    ) -> Result[int, FakeFault]:
+    ) -> Result[int, CommitFault]:
         self.commits.append((text, base_version, commit_id))
         return self.answer
 
@@ -113,7 +89,7 @@
         return response.code, json.loads(await response.content())
 
 
-@async_fixture
+@pytest_twisted.async_yield_fixture
 async def client() -> AsyncIterator[Client]:
     kernel, spread = Kernel(), FakeSpread()
     kernel.register("spread", spread)
@@ -124,33 +100,27 @@
     await service.stop()
 
 
-@async_test
+@on_reactor
 async def test_reads(client: Client) -> None:
     # Guards the success answers that the command-line tool and collectors read.
-    assert await client.call("/healthz") == (
-        200,
-        {"status": "pass", "manifest_version": 7, "fresh": True},
-    )
+    health = {"status": "pass", "manifest_version": 7, "fresh": True}
+    assert await client.call("/healthz") == (200, health)
     assert await client.call("/v1/status") == (200, {"hosts": []})
     for path in ("/v1/manifest", "/v1/manifest?version=7"):
         assert await client.call(path) == (200, {"version": 7, "text": "seven"})
-    assert await client.call("/v1/manifest?version=6") == (
-        200,
-        {"version": 6, "text": "six"},
-    )
+    older = {"version": 6, "text": "six"}
+    assert await client.call("/v1/manifest?version=6") == (200, older)
     code, answer = await client.call("/v1/manifest/history")
     newest = {"version": 7, "commit_id": "c7", "committed_unix_ms": 9}
     assert (code, answer["history"][0], len(answer["history"])) == (200, newest, 2)
     metrics = await treq.get(client.base + "/metrics", timeout=5, persistent=False)
     assert "samphirebend_peers_live 0" in (await metrics.content()).decode()
     # A service that belongs to another package is shown by its type only.
-    assert await client.call("/v1/dump?service=spread") == (
-        200,
-        {"services": {"spread": "(tests.unit.test_admin.FakeSpread)"}},
-    )
+    shown = {"services": {"spread": "(tests.unit.test_admin.FakeSpread)"}}
+    assert await client.call("/v1/dump?service=spread") == (200, shown)
 
 
-@async_test
+@on_reactor
 async def test_failed_reads_are_json(client: Client) -> None:
     # Guards against HTML error pages and internal errors on expected failures.
     for path, status in (
@@ -172,54 +142,55 @@
     assert (code, health["status"]) == (200, "warn")
 
 
-@async_test
+@on_reactor
 async def test_commit_answers(client: Client) -> None:
     # Guards the four answers to a commit, on which operators' tools decide.
     body = {"text": "{}", "base_version": 7, "commit_id": "c8"}
     assert await client.call("/v1/manifest", body) == (200, {"version": 8})
     assert client.spread.commits == [("{}", 7, "c8")]
 
-    client.spread.answer = Err(FakeFault(FakeKind.CONFLICT, current_version=9))
+    client.spread.answer = make_fault(CommitFaultKind.CONFLICT, current_version=9)
     code, answer = await client.call("/v1/manifest", body)
     assert (code, answer["base_version"], answer["current_version"]) == (409, 7, 9)
 
     fault = Fault("links", "a link", "none")
-    client.spread.answer = Err(FakeFault(FakeKind.INVALID, faults=[fault, fault]))
+    client.spread.answer = make_fault(CommitFaultKind.INVALID, faults=[fault, fault])
     code, answer = await client.call("/v1/manifest", body)
     one = {"path": "links", "expected": "a link", "found": "none"}
     assert (code, answer["faults"]) == (400, [one, one])
 
     for uncertain in (True, False):
-        refusal = FakeFault(FakeKind.UNAVAILABLE, may_be_accepted=uncertain)
-        client.spread.answer = Err(refusal)
+        client.spread.answer = make_fault(
+            CommitFaultKind.UNAVAILABLE, may_be_accepted=uncertain
+        )
         code, answer = await client.call("/v1/manifest", body)
         assert (code, answer["may_have_been_accepted"]) == (503, uncertain)
 
 
-@async_test
+@on_reactor
 async def test_wrong_commit_bodies_reach_no_commit(client: Client) -> None:
     # Guards against a commit from a body that was only half understood.
+    good = {"text": "{}", "base_version": 7, "commit_id": "c"}
     for body, paths in (
         (b"{", ["(body)"]),
         (b"\xff", ["(body)"]),
         (b"[" * 100_000, ["(body)"]),
         ([], ["(body)"]),
         ({"text": 1, "base_version": True}, ["text", "base_version", "commit_id"]),
+        (good | {"force": True}, ["force"]),
+        (good | {"base_version": -1}, ["base_version"]),
         (
-            {"text": "{}", "base_version": 7, "commit_id": "c", "force": True},
-            ["force"],
+            good | {"base_version": 1.5, "commit_id": "c" * 65},
+            ["base_version", "commit_id"],
         ),
-        ({"text": "{}", "base_version": -1, "commit_id": "c"}, ["base_version"]),
-        ({"text": "{}", "base_version": 1.5, "commit_id": "c" * 65}, None),
     ):
         code, answer = await client.call("/v1/manifest", body)
         assert code == 400, body
-        found = [fault["path"] for fault in answer["faults"]]
-        assert found == (paths or ["base_version", "commit_id"])
+        assert [fault["path"] for fault in answer["faults"]] == paths
     assert client.spread.commits == []
 
 
-@async_test
+@on_reactor
 async def test_body_limit(client: Client, monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards the memory and that no body goes to a temporary file: the limit is
     # above the 100 kB from which Twisted would use one.
@@ -231,7 +202,7 @@
     assert (await client.call("/v1/manifest", body))[0] == 413
 
 
-@async_test
+@on_reactor
 async def test_internal_error_is_json(client: Client) -> None:
     # Guards against a traceback in an answer.
     client.spread.answer = Ok(object())  # type: ignore[arg-type]
@@ -239,7 +210,7 @@
     assert await client.call("/v1/manifest", body) == (500, {"error": "internal error"})
 
 
-@async_test
+@on_reactor
 async def test_client_of_the_command_line_tool(client: Client) -> None:
     # Guards against a tool and an interface that were only tested with fakes of
     # each other.
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, Final
 from unittest.mock import Mock
 
 import pytest
@@ -17,6 +17,21 @@
 from samphirebend.quarantine import Verdict
 from samphirebend.retries import RetryBudget
 
+PARTS: Final = (
+    "limits",
+    "keeper",
+    "states",
+    "peers",
+    "quarantine",
+    "pool",
+    "relay",
+    "router",
+)
+
+
+def make_dispatcher(parts: dict[str, Any]) -> Dispatcher:
+    return Dispatcher("entry-1", Clock(), **parts, metrics=Mock(), queue_wait_s=0.03)
+
 
 @pytest.mark.parametrize(
     ("kind", "relay_allowed", "goes_on"),
@@ -30,21 +45,7 @@
     kind: ErrorKind, relay_allowed: bool, goes_on: bool
 ) -> None:
     """Guards against attempts at upstreams that no budget counts."""
-    unused: Any = None
-    dispatcher = Dispatcher(
-        "north-0",
-        Clock(),
-        unused,
-        unused,
-        unused,
-        unused,
-        unused,
-        unused,
-        unused,
-        unused,
-        unused,
-        0.0,
-    )
+    dispatcher = make_dispatcher(dict.fromkeys(PARTS))
     req: Any = SimpleNamespace(method="GET", headers=[], answered=False)
     job = Job(req, Any, "/", "id", 1.0)  # type: ignore[arg-type]
     job.service = SimpleNamespace(name="read", idempotent=True)  # type: ignore[assignment]
@@ -55,8 +56,7 @@
 
 
 def test_nothing_is_written_if_the_lease_ends_while_connecting() -> None:
-    names = ("limits", "keeper", "states", "peers", "quarantine", "pool")
-    parts: dict[str, Any] = {name: Mock() for name in (*names, "relay", "router")}
+    parts: dict[str, Any] = {name: Mock() for name in PARTS}
     limits, keeper, pool = parts["limits"], parts["keeper"], parts["pool"]
     upstream, room = Mock(), Mock(upstream="upstream-1", limit=1)
     upstream.name = room.upstream
@@ -70,9 +70,7 @@
     parts["router"].upstream_for.return_value = upstream.name
     connected: Deferred[Any] = Deferred()
     pool.acquire.return_value = connected
-    dispatcher = Dispatcher(
-        "entry-1", Clock(), **parts, metrics=Mock(), queue_wait_s=0.03
-    )
+    dispatcher = make_dispatcher(parts)
     dispatcher.apply(Mock(upstreams={upstream.name: upstream}), {})
     service = Mock(idempotent=False, timeout_s=2.0)
     job = Job(Mock(headers=[], answered=False), service, "/", "id", 2.0)
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 import pytest
-from twisted.internet import reactor as twisted_reactor
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.resource import Resource
@@ -25,10 +24,10 @@
 from samphirebend.manifest import Upstream
 from samphirebend.upstreamstate import LifeState, UpstreamStates
 
+from ..reactor import on_reactor, reactor
 from .test_upstreamstate import make_manifest
 
 # Twisted's classes are only partly annotated.
-reactor: Any = twisted_reactor
 Failure: Any = TwistedFailure
 make_site: Any = Site
 make_clock: Any = Clock
@@ -65,6 +64,21 @@
         found[-1].callback(Fetched(body, ""))
 
 
+@pytest.fixture
+def harness() -> Iterator[Harness]:
+    started = Harness()
+    started.service.start()
+    yield started
+    started.service.stop()
+
+
+def make_report(**fields: Any) -> bytes:
+    """Return a report with a load, and with other fields changed."""
+    load = {"slots:in-use": [{"observedValue": 3}]}
+    body = {"status": "pass", "instance": "a", "checks": load, **fields}
+    return msgspec.json.encode(body)
+
+
 def make_list(upstreams: list[Upstream], **conditions: bool) -> bytes:
     slices = [
         {
@@ -81,18 +95,15 @@
 )
 def test_odd_load_is_unknown(value: object) -> None:
     # A load of zero would make an upstream without figures look idle.
-    body = {"status": "pass", "checks": {"slots:in-use": value}}
-    report = parse_report(msgspec.json.encode(body))
+    report = parse_report(make_report(checks={"slots:in-use": value}))
     assert report is not None
     assert report.in_use is None
 
 
 def test_report_is_read() -> None:
-    check = [{"observedValue": 2}]
-    body = {"status": "warn", "instance": "a", "checks": {"slots:in-use": check}}
-    report = parse_report(msgspec.json.encode(body), "draining")
+    report = parse_report(make_report(status="warn"), "draining")
     assert report is not None
-    assert (report.in_use, report.instance, report.draining) == (2, "a", True)
+    assert (report.in_use, report.instance, report.draining) == (3, "a", True)
 
 
 @pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"status": 1}', b"\xff"])
@@ -101,22 +112,15 @@
     assert parse_list(body) is None
 
 
-def test_failed_polls_do_not_change_the_load() -> None:
-    harness = Harness()
-    harness.service.start()
-    check = [{"observedValue": 3}]
-    body = {"status": "pass", "instance": "a", "checks": {"slots:in-use": check}}
-    harness.answer(":9000/health", msgspec.json.encode(body))
+def test_failed_polls_do_not_change_the_load(harness: Harness) -> None:
+    harness.answer(":9000/health", make_report())
     harness.clock.advance(1.0)
     harness.asked[-2][1].errback(Failure(FetchError("gone")))
     assert harness.states.reported_in_use("u0", harness.clock.seconds()) == 3
-    harness.service.stop()
 
 
-def test_silent_upstream_is_asked_again_and_does_not_pile_up() -> None:
+def test_silent_upstream_is_asked_again_and_does_not_pile_up(harness: Harness) -> None:
     # Polls without an answer must end before the next one is sent.
-    harness = Harness()
-    harness.service.start()
     for _ in range(30):
         harness.clock.advance(0.1)
     polls = [url for url, _ in harness.asked if ":9000" in url]
@@ -126,31 +130,24 @@
     assert all(item.called for _, item in harness.asked)
 
 
-def test_list_marks_leaving_and_absent() -> None:
-    harness = Harness()
-    harness.service.start()
+def test_list_marks_leaving_and_absent(harness: Harness) -> None:
     harness.answer("list", make_list(harness.upstreams, serving=True))
     harness.clock.advance(1.0)
     harness.answer("list", make_list(harness.upstreams[:1], terminating=True))
     assert harness.states.state("u0", 1.0) is LifeState.LEAVING
     assert harness.states.state("u1", 1.0) is LifeState.GONE
-    harness.service.stop()
 
 
 @pytest.mark.parametrize("body", [b'{"items": []}', b"junk"])
-def test_empty_list_is_not_taken_at_its_word(body: bytes) -> None:
+def test_empty_list_is_not_taken_at_its_word(harness: Harness, body: bytes) -> None:
     # A list service that lost its data would end all work of a region.
-    harness = Harness()
-    harness.service.start()
     harness.answer("list", make_list(harness.upstreams, serving=True))
     harness.clock.advance(1.0)
     harness.answer("list", body)
     assert harness.states.accepts("u0", 1.0)
-    harness.service.stop()
 
 
-def test_part_of_a_list_does_not_show_absence() -> None:
-    harness = Harness()
+def test_part_of_a_list_does_not_show_absence(harness: Harness) -> None:
     whole = msgspec.json.decode(make_list(harness.upstreams[:1], serving=True))
     part = parse_list(msgspec.json.encode(whole | {"metadata": {"continue": "x"}}))
     assert part is not None
@@ -166,26 +163,14 @@
         return b"x" * 1000
 
 
-@inlineCallbacks
-def fetch_twice() -> Generator[Deferred[Any], Any, tuple[int, BaseException | None]]:
+@on_reactor
+async def test_fetcher_reads_and_bounds_an_answer() -> None:
+    # An endless health answer must not fill the daemon's memory.
     page: Any = Page
     port = reactor.listenTCP(0, make_site(page()), interface="127.0.0.1")
     fetch = make_fetcher(reactor)
     url = f"http://127.0.0.1:{port.getHost().port}/health"
-    error: BaseException | None = None
-    whole = yield fetch(url, 1000)
-    try:
-        yield fetch(url, 999)
-    except FetchError as exc:
-        error = exc
-    yield port.stopListening()
-    return len(whole.body), error
-
-
-def test_fetcher_reads_and_bounds_an_answer() -> Deferred[Any]:
-    # An endless health answer must not fill the daemon's memory.
-    def check(result: tuple[int, BaseException | None]) -> None:
-        assert result[0] == 1000
-        assert isinstance(result[1], FetchError)
-
-    return fetch_twice().addCallback(check)
+    assert len((await fetch(url, 1000)).body) == 1000
+    with pytest.raises(FetchError):
+        await fetch(url, 999)
+    await port.stopListening()
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable, Iterator
+from unittest.mock import Mock
 
 import pytest
 from result import Err
@@ -64,48 +65,52 @@
         self.failed.append(kind)
 
 
-def serve() -> tuple[HttpServerProtocol, Transport, list[ServerRequest]]:
-    seen: list[ServerRequest] = []
-    conn = HttpServerProtocol(HttpServer(seen.append))
-    transport = Transport()
-    conn.makeConnection(transport)
-    return conn, transport, seen
+Served = tuple[HttpServerProtocol, Transport, list[ServerRequest]]
+Serve = Callable[[bytes], Served]
 
 
-def client() -> tuple[ClientConnection, Transport, Sink]:
-    class Pool:
-        def put_back(self, conn: Any) -> None:
-            """Accept the connection."""
+@pytest.fixture
+def serve() -> Iterator[Serve]:
+    """Return a function that gives data to a new server connection."""
+    opened: list[HttpServerProtocol] = []
+
+    def start(data: bytes) -> Served:
+        seen: list[ServerRequest] = []
+        conn = HttpServerProtocol(HttpServer(seen.append))
+        opened.append(conn)
+        transport = Transport()
+        conn.makeConnection(transport)
+        conn.dataReceived(data)
+        return conn, transport, seen
 
-        def note_closed(self) -> None:
-            pass
+    yield start
+    for conn in opened:
+        conn.setTimeout(None)
 
-        def forget(self, conn: Any) -> None:
-            """Accept the connection."""
 
-    conn = ClientConnection(Pool())  # type: ignore[arg-type]
+def client() -> tuple[ClientConnection, Transport, Sink]:
+    conn = ClientConnection(Mock())
     transport, sink = Transport(), Sink()
     conn.makeConnection(transport)
     conn.send("GET", "/", [(b"Host", b"x")], b"", sink)
     return conn, transport, sink
 
 
-def test_two_requests_on_one_connection_get_their_own_answers() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(
-        b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n"
-    )
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+PUT_PART = b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc"
+
+
+def test_two_requests_on_one_connection_get_their_own_answers(serve: Serve) -> None:
+    _, transport, seen = serve(GET + GET.replace(b"/a", b"/b"))
     assert [req.target for req in seen] == ["/a"]
     seen[0].respond(200, [], b"first")
     assert [req.target for req in seen] == ["/a", "/b"]
     seen[1].respond(200, [], b"second")
     assert transport.value().index(b"first") < transport.value().index(b"second")
-    conn.setTimeout(None)
 
 
-def test_body_waits_for_its_sink_and_stops_reading() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+def test_body_waits_for_its_sink_and_stops_reading(serve: Serve) -> None:
+    conn, transport, seen = serve(PUT_PART)
     assert transport.producerState == "paused"
     sink = Sink()
     seen[0].receive(sink)
@@ -113,12 +118,10 @@
     conn.dataReceived(b"def")
     assert (sink.data, sink.ended) == (b"abcdef", 1)
     seen[0].respond(200, [], b"")
-    conn.setTimeout(None)
 
 
-def test_caller_that_goes_away_fails_the_body() -> None:
-    conn, _, seen = serve()
-    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+def test_caller_that_goes_away_fails_the_body(serve: Serve) -> None:
+    conn, _, seen = serve(PUT_PART)
     sink = Sink()
     seen[0].receive(sink)
     conn.connectionLost()
@@ -126,28 +129,24 @@
     assert not sink.ended
 
 
-def test_early_answer_drops_the_rest_of_the_body_and_closes() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+def test_early_answer_drops_the_rest_of_the_body_and_closes(serve: Serve) -> None:
+    conn, transport, seen = serve(PUT_PART)
     seen[0].respond(503, [], b"no")
     conn.dataReceived(b"def")
     assert b"Connection: close" in transport.value()
     assert len(seen) == 1
-    conn.setTimeout(None)
 
 
-def test_short_streamed_answer_is_cut_and_not_ended() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+def test_short_streamed_answer_is_cut_and_not_ended(serve: Serve) -> None:
+    _, transport, seen = serve(GET)
     seen[0].start(200, [(b"Content-Length", b"10")])
     seen[0].write(b"abc")
     seen[0].finish()
     assert transport.aborted
 
 
-def test_malformed_request_is_refused() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"NONSENSE\r\n\r\n")
+def test_malformed_request_is_refused(serve: Serve) -> None:
+    _, transport, seen = serve(b"NONSENSE\r\n\r\n")
     assert not seen
     assert b"400" in transport.value()
     assert transport.disconnecting
@@ -210,20 +209,16 @@
     assert transport.aborted
 
 
-def test_head_keeps_the_length_of_the_resource_and_sends_no_body() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n")
+def test_head_keeps_the_length_of_the_resource_and_sends_no_body(serve: Serve) -> None:
+    _, transport, seen = serve(GET.replace(b"GET", b"HEAD"))
     seen[0].respond(200, [], b"", b"1000")
     assert transport.value().endswith(b"Content-Length: 1000\r\n\r\n")
-    conn.setTimeout(None)
 
 
-def test_answer_without_a_body_has_no_length() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+def test_answer_without_a_body_has_no_length(serve: Serve) -> None:
+    _, transport, seen = serve(GET)
     seen[0].respond(204, [], b"")
     assert b"Content-Length" not in transport.value()
-    conn.setTimeout(None)
 
 
 def test_connection_with_bytes_after_the_answer_is_not_kept() -> None:
@@ -260,15 +255,12 @@
     assert limits.reserve_connection("read-north-0").is_ok()
 
 
-def test_broken_body_of_a_begun_request_is_not_told_as_not_run() -> None:
-    conn, transport, seen = serve()
-    conn.dataReceived(
-        b"PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-    )
+def test_broken_body_of_a_begun_request_is_not_told_as_not_run(serve: Serve) -> None:
+    head = b"PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    conn, transport, seen = serve(head)
     sink = Sink()
     seen[0].receive(sink)
     conn.dataReceived(b"3\r\nabc\r\n")
     conn.dataReceived(b"not a chunk\r\n")
     assert sink.data == b"abc"
     assert b"Request-Outcome: unknown" in transport.value()
-    conn.setTimeout(None)
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, strategies as st
 from result import Err, Ok
 from twisted.internet.defer import Deferred
@@ -18,6 +19,11 @@
 )
 
 
+@pytest.fixture
+def ledger() -> Ledger:
+    return Ledger("entry-1", 7, 0.0)
+
+
 def issue(ledger: Ledger, now: float) -> RequestKey:
     key = parse_key(ledger.issue(now))
     assert key is not None
@@ -42,32 +48,28 @@
             executed.add(index)
 
 
-def test_key_older_than_the_previous_epoch_is_unknown() -> None:
-    ledger = Ledger("entry-1", 7, 0.0)
+def test_key_older_than_the_previous_epoch_is_unknown(ledger: Ledger) -> None:
     key = issue(ledger, 0.0)
     assert ledger.begin(key, 1, 2 * EPOCH_S) == Err(ErrorKind.KEY_EXPIRED)
 
 
-def test_key_of_another_incarnation_is_not_owned() -> None:
-    key = issue(Ledger("entry-1", 7, 0.0), 0.0)
+def test_key_of_another_incarnation_is_not_owned(ledger: Ledger) -> None:
+    key = issue(ledger, 0.0)
     assert not Ledger("entry-1", 8, 0.0).owns(key)
 
 
-def test_key_of_an_epoch_to_come_is_malformed() -> None:
+def test_key_of_an_epoch_to_come_is_malformed(ledger: Ledger) -> None:
     key = RequestKey("entry-1", 7, 5, "ab" * 16)
-    begun = Ledger("entry-1", 7, 0.0).begin(key, 1, 0.0)
-    assert begun == Err(ErrorKind.KEY_MALFORMED)
+    assert ledger.begin(key, 1, 0.0) == Err(ErrorKind.KEY_MALFORMED)
 
 
-def test_key_with_another_request_is_refused() -> None:
-    ledger = Ledger("entry-1", 7, 0.0)
+def test_key_with_another_request_is_refused(ledger: Ledger) -> None:
     key = issue(ledger, 0.0)
     ledger.begin(key, 1, 0.0)
     assert ledger.begin(key, 2, 0.0) == Err(ErrorKind.KEY_MISMATCH)
 
 
-def test_kept_answers_stay_within_their_limit() -> None:
-    ledger = Ledger("entry-1", 7, 0.0)
+def test_kept_answers_stay_within_their_limit(ledger: Ledger) -> None:
     entries = []
     for _ in range(MAX_KEPT_BYTES // MAX_ANSWER_BYTES + 2):
         entry = ledger.begin(issue(ledger, 0.0), 1, 0.0).unwrap().entry
@@ -81,8 +83,7 @@
     assert entries[0].outcome is Outcome.DONE
 
 
-def test_finish_releases_repeats() -> None:
-    ledger = Ledger("entry-1", 7, 0.0)
+def test_finish_releases_repeats(ledger: Ledger) -> None:
     entry = ledger.begin(issue(ledger, 0.0), 1, 0.0).unwrap().entry
     waiter: Deferred[None] = Deferred()
     entry.waiters.append(waiter)
@@ -90,11 +91,8 @@
     assert waiter.called
 
 
-def test_a_repeat_that_gave_up_does_not_disturb_the_end() -> None:
-    ledger = Ledger("entry-1", 7, 0.0)
-    begun = ledger.begin(issue(ledger, 0.0), 1, 0.0)
-    assert isinstance(begun, Ok)
-    entry = begun.ok_value.entry
+def test_a_repeat_that_gave_up_does_not_disturb_the_end(ledger: Ledger) -> None:
+    entry = ledger.begin(issue(ledger, 0.0), 1, 0.0).unwrap().entry
     gave_up: Deferred[None] = Deferred()
     waits: Deferred[None] = Deferred()
     entry.waiters = [gave_up, waits]
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -9,10 +9,15 @@
 from samphirebend.wire import Suspect
 
 
+def crash(item: Quarantine, fingerprint: int, upstream: str, now: float) -> None:
+    """Let an upstream crash that runs only this request."""
+    item.note_dispatch(fingerprint, upstream, now)
+    assert item.note_crash(upstream, now + 0.1) == [fingerprint]
+
+
 def test_second_crash_blocks_for_ten_minutes() -> None:
     item = Quarantine()
-    item.note_dispatch(1, "u", 0.0)
-    assert item.note_crash("u", 0.1) == [1]
+    crash(item, 1, "u", 0.0)
     assert item.verdict(1, 0.2) is Verdict.ALONE
     item.note_dispatch(1, "v", 0.2)
     # A second caller must not start a second trial meanwhile.
@@ -39,8 +44,7 @@
     item.note_dispatch(1, "u", 0.0)
     item.note_dispatch(2, "u", 0.0)
     item.note_crash("u", 0.1)
-    item.note_dispatch(3, "v", 0.0)
-    item.note_crash("v", 0.1)
+    crash(item, 3, "v", 0.0)
     for suspect in (1, 3):
         item.note_dispatch(suspect, "w", 1.0)
         item.note_answer(suspect, "w", 1.1)
@@ -53,8 +57,7 @@
 def test_cancelled_trial_leaves_the_suspect_alone() -> None:
     # A caller that hangs up must not clear or lock the suspect.
     item = Quarantine()
-    item.note_dispatch(1, "u", 0.0)
-    item.note_crash("u", 0.1)
+    crash(item, 1, "u", 0.0)
     item.note_dispatch(1, "v", 0.2)
     item.note_end(1, "v")
     assert item.verdict(1, 0.3) is Verdict.ALONE
@@ -79,8 +82,7 @@
     item = Quarantine()
     item.merge([Suspect(1, 1)], 0.0)
     assert item.verdict(1, 0.0) is Verdict.ALONE
-    item.note_dispatch(1, "u", 0.1)
-    item.note_crash("u", 0.2)
+    crash(item, 1, "u", 0.1)
     assert item.verdict(1, 0.3) is Verdict.BLOCKED
     item.merge([Suspect(1, 1)], 0.4)
     assert item.verdict(1, 0.5) is Verdict.BLOCKED
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -56,7 +56,8 @@
         return False
 
 
-def put(table: FakeTable) -> tuple[Result[None, StoreFault], TableStore]:
+def put(table: FakeTable, *steps: Step) -> tuple[Result[None, StoreFault], TableStore]:
+    table.steps = list(steps)
     clock: Any = Clock()
     store = TableStore(table, "t", clock, clock.seconds)
     results: list[Result[None, StoreFault]] = []
@@ -67,23 +68,20 @@
 
 def test_write_that_took_effect_is_not_sent_again() -> None:
     table = FakeTable()
-    table.steps = [table.lose_after]
-    result, store = put(table)
+    result, store = put(table, table.lose_after)
     assert result == Ok(None)
     assert (table.calls, store.counts.resolved_by_read) == (2, 1)
 
 
 def test_write_that_did_not_take_effect_is_sent_again() -> None:
     table = FakeTable()
-    table.steps = [table.lose_before]
-    assert put(table)[0] == Ok(None)
+    assert put(table, table.lose_before)[0] == Ok(None)
     assert table.item is not None
 
 
 def test_lost_answer_and_another_writer_is_a_conflict() -> None:
     table = FakeTable()
-    table.steps = [table.other_wins]
-    assert put(table)[0] == Err(StoreFault.CONFLICT)
+    assert put(table, table.other_wins)[0] == Err(StoreFault.CONFLICT)
     assert table.item is not None
     assert table.item["token"] == {"S": "other"}
 
@@ -96,8 +94,7 @@
         table.item = item
         return True
 
-    table.steps = [table.lose_before, take_effect_first]
-    assert put(table)[0] == Ok(None)
+    assert put(table, table.lose_before, take_effect_first)[0] == Ok(None)
 
 
 def test_breaker_probes_once_a_second() -> None:
--- a/tests/unit/test_upstreamstate.py
+++ b/tests/unit/test_upstreamstate.py
@@ -263,8 +263,5 @@
     # Without reports the bound would otherwise stay for good.
     states = make_states()
     states.note_broken("u0", 2.0, 2.0)
-    assert [states.limit("u0", 3, 2.0 + t) for t in (0.0, 5.0, COLD_RAMP_S)] == [
-        1,
-        2,
-        3,
-    ]
+    ramp = [states.limit("u0", 3, 2.0 + t) for t in (0.0, 5.0, COLD_RAMP_S)]
+    assert ramp == [1, 2, 3]
