Limit the fake connection pool to the three calls that a connection makes

Ruled out: spec=ConnectionPool; a connection sees the pool through _BoundPool. Change: the Mock names the three methods and refuses all others.

--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -89,7 +89,7 @@
 
 
 def client() -> tuple[ClientConnection, Transport, Sink]:
-    conn = ClientConnection(Mock())
+    conn = ClientConnection(Mock(spec=["put_back", "note_closed", "forget"]))
     transport, sink = Transport(), Sink()
     conn.makeConnection(transport)
     conn.send("GET", "/", [(b"Host", b"x")], b"", sink)
