--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -55,7 +55,7 @@
     ) -> None:
         """Keep the plan; `proxied` names the kinds of address behind the proxy.
 
-        They are `entry`, `relay`, `peer`, `upstream` and `table`.
+        They are `relay`, `peer`, `upstream` and `table`.
         """
         super().__init__(folder, seed)
         self.proxied = frozenset(proxied)
@@ -93,12 +93,11 @@
             return
         addresses = self.start_proxy(listeners, self.manifest["links"])
         for upstream in all_upstreams(self.manifest):
-            address = addresses.get(upstream["name"], upstream["address"])
-            upstream["address"] = address
+            if "upstream" in self.proxied:
+                upstream["address"] = addresses[upstream["name"]]
         for name, host in self.hosts.items():
             for field in ADDRESS_FIELDS:
                 host[field] = addresses.get(f"{field}:{name}", host[field])
-            self.entries[name] = host["entry"]
             table = addresses.get(f"table:{name}", self.table)
             self.settings[name]["table_url"] = f"http://{table}"
 
@@ -148,8 +147,6 @@
             # Daemons that share a listener are told apart by their addresses.
             "relay": ends,
             "peer": ends,
-            # Callers stand in the host's region.
-            "entry": {**ends, "from": "caller", "from_region": region},
             "table": {
                 "to": "table",
                 "to_region": table_region,
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -15,14 +15,8 @@
 from pathlib import Path
 from typing import Any
 
-from .cluster import (
-    ROOT,
-    Cluster,
-    Data,
-    broken_conditions,
-    eventually,
-    load_example,
-)
+from .cluster import ROOT, Cluster, Data, broken_conditions, eventually
+from .manifests import load_example
 
 LOAD_S = 36.0
 STOP_AT_S = 10.0
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -13,14 +13,8 @@
 
 import pytest
 
-from tests.cluster import (
-    Cluster,
-    Data,
-    broken_conditions,
-    eventually,
-    http_json,
-    small_manifest,
-)
+from tests.cluster import Cluster, Data, broken_conditions, eventually, http_json
+from tests.manifests import small_manifest
 
 NO_NEW_WORK_S = 5.0
 DEAD_S = 5.0  # a dead host is replaced
--- a/tests/integration/test_manifest.py
+++ b/tests/integration/test_manifest.py
@@ -16,14 +16,8 @@
 import msgspec
 import pytest
 
-from tests.cluster import (
-    ROOT,
-    Cluster,
-    Data,
-    eventually,
-    http_json,
-    small_manifest,
-)
+from tests.cluster import ROOT, Cluster, Data, eventually, http_json
+from tests.manifests import small_manifest
 
 IN_FORCE_S = 5.0
 FRESH_S = 3.0
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -17,15 +17,9 @@
 
 from samphirebend.manifest import read_manifest
 from samphirebend.shards import assign
-from tests.cluster import (
-    Cluster,
-    Data,
-    broken_conditions,
-    eventually,
-    http_json,
-    small_manifest,
-)
+from tests.cluster import Cluster, Data, broken_conditions, eventually, http_json
 from tests.httpcalls import call
+from tests.manifests import small_manifest
 
 REGIONS = {"north": 3, "middle": 2, "south": 2}
 PART = bytes(range(256)) * 4096
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -22,6 +22,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from ..httpcalls import Answer
 from .serving import next_event
 from .upstream import answer_body, content_digest
 
@@ -43,7 +44,6 @@
     region: str = ""
     rate: float = 50.0  # requests per second, on average
     count: int = 1_000_000
-    start_s: float = 0.0
     keyed: bool = False
     size: int = 64  # bytes of the answer
     body_bytes: int = 0
@@ -64,14 +64,6 @@
     max_in_flight: int = 2000  # arrivals above it are counted as skipped
 
 
-class Answer(msgspec.Struct):
-    """A complete answer."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class Record(msgspec.Struct):
     """What became of one request."""
 
@@ -242,7 +234,6 @@
         """Start requests at seeded random times."""
         rng = random.Random(f"{self.plan.seed}/{load.service}/{load.region}")
         at = start = time.monotonic()
-        at += load.start_s
         for number in range(load.count):
             at += rng.expovariate(load.rate)
             if at - start > self.plan.duration_s:
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -32,7 +32,6 @@
     "lose_answer": False,  # drop the answer's bytes, then close
     "random": 0.0,  # share of connections that get a seeded random fault
     "answer_faults": 0.0,  # share of HTTP answers that are damaged
-    "faults": FAULTS,  # those that `random` chooses from
 }
 Rule = dict[str, Any]
 
@@ -107,7 +106,7 @@
             return
         rng = self.proxy.rng
         if effect["random"] and rng.random() < effect["random"]:
-            self.fault = rng.choice(effect["faults"])
+            self.fault = rng.choice(FAULTS)
             self.fault_after = rng.randrange(2000)
             self.proxy.faults[self.fault] += 1
         ip, _, port = target.rpartition(":")
@@ -266,8 +265,6 @@
         data = msgspec.json.decode(body)
         if target == "/origins":
             self.origins.update(data)
-        elif target == "/links":  # the same form as in the plan
-            self.links, self.pairs = data, {}
         elif target == "/rules":
             for name, rule in data.items():
                 if unknown := set(rule or {}) - set(SELECTORS) - set(EFFECTS):
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import base64
-import collections
 import hashlib
 import random
 import time
@@ -33,7 +32,6 @@
     "crash_down_s": 1.0,
     "drain_refuse_after_s": 2.0,
     "drain_header": True,  # a draining upstream says so in its answers
-    "health_lag_s": 0.0,  # age of the reported state
     "health_lie": "",  # "pass", "idle" (load 0) or "silent" (no answer)
 }
 COUNTERS = (
@@ -105,8 +103,6 @@
         self.usage = Usage()
         self.counts = dict.fromkeys(COUNTERS, 0)
         self.writers: set[asyncio.StreamWriter] = set()
-        self.peak_connections = 0
-        self.history: collections.deque[tuple[float, int]] = collections.deque()
         self.drain_at = 0.0
         self.last_arrival = 0.0
         self.idle_at = 0.0  # when the last request in flight ended
@@ -158,7 +154,6 @@
             "group": self.group,
             "slots": self.cfg["slots"],
             "connections": len(self.writers),
-            "peak_connections": self.peak_connections,
             "instance": self.instance,
             "drain_at": self.drain_at,
             "last_arrival": self.last_arrival,
@@ -174,7 +169,6 @@
             writer.transport.abort()
             return
         self.writers.add(writer)
-        self.peak_connections = max(self.peak_connections, len(self.writers))
         conn = h11.Connection(h11.SERVER)
         try:
             while isinstance(event := await next_event(conn, reader), h11.Request):
@@ -189,13 +183,11 @@
             writer.close()
 
     def health(self) -> dict[str, Any]:
-        """Return the health report, as old or as false as it is set."""
-        now = time.time()
-        load, draining = self.usage.in_flight, bool(self.drain_at)
-        if (lag := float(self.cfg["health_lag_s"])) > 0:
-            draining = draining and now - self.drain_at >= lag
-            load = next((n for at, n in reversed(self.history) if at <= now - lag), 0)
-        status = "warn" if draining else "fail" if self.cfg["fail_fast"] else "pass"
+        """Return the health report, as false as it is set."""
+        now, load = time.time(), self.usage.in_flight
+        status = "fail" if self.cfg["fail_fast"] else "pass"
+        if self.drain_at:
+            status = "warn"
         if self.cfg["health_lie"] in ("pass", "idle"):
             status = "pass"
         if self.cfg["health_lie"] == "idle":
@@ -250,16 +242,12 @@
         usages = (upstream.usage, upstream.process.group(upstream.group))
         for usage in usages:
             usage.change(1)
-        upstream.history.append((time.time(), upstream.usage.in_flight))
         try:
             await self._run()
         finally:
             for usage in usages:
                 usage.change(-1)
             upstream.idle_at = time.time()
-            upstream.history.append((upstream.idle_at, upstream.usage.in_flight))
-            while upstream.history[0][0] < upstream.idle_at - 30:
-                upstream.history.popleft()
 
     def _refusal(self) -> str:
         """Return the counter of the reason to refuse, or an empty text."""
@@ -329,8 +317,7 @@
         if upstream.cfg["fail_fast"] or (fails and upstream.rng.random() < fails):
             await self.answer(500, b"failed")
             return "failed"
-        text = self.headers.get("work-ms") or self.query.get("work_ms")
-        work_s = float(text if text else upstream.cfg["work_ms"]) / 1000
+        work_s = float(self.query.get("work_ms") or upstream.cfg["work_ms"]) / 1000
         if time.time() - upstream.started < upstream.cfg["cold_s"]:
             work_s *= upstream.cfg["cold_factor"]
             if upstream.cfg["cold_crowding"]:
