Give the entry's unit test the pacer of reads

The test of the operators' interface imported CommitFault from spread, from where the merge of the manifest rows has moved it.

Change: both follow the new signatures; no check changes.

Conclusion: both were faults of the merge, not of the product.

--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -19,8 +19,8 @@
 from samphirebend.adminclient import call
 from samphirebend.jsonfile import Fault
 from samphirebend.kernel import Kernel
+from samphirebend.manifesttable import CommitFault, CommitFaultKind
 from samphirebend.metrics import Metrics
-from samphirebend.spread import CommitFault, CommitFaultKind
 
 from ..reactor import on_reactor, reactor
 
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -39,7 +39,8 @@
     lookup = Mock()
     parts: list[Any] = [Mock(), Mock(), Mock(), lookup, Mock(), Mock()]
     make_entry: Any = Entry
-    entry = make_entry("host", clock, *parts, lambda _: fresh, lambda _: None)
+    pacers = [lambda _: None, lambda _: None]
+    entry = make_entry("host", clock, *parts, lambda _: fresh, *pacers)
     entry.apply(cast(Any, Mock(services={})))
     asked = Asked(target)
     entry.handle(cast(Any, asked))
