Keep a retry reserve for the victims of a crash

Callers use one host for the time to live of a look-up (2 s) and then move to another; the savings decay within a second, and the crash hit what was still in flight at the first host. The budget was also spent on attempts at an upstream that was down and accepted no connection.

Ruled out: a larger share for all retries. The property "attempts are at most 1.1 times the requests" leaves no room for it, and in a brown-out it would be spent on failures of all kinds.

Change: savings above their limit fill a reserve of 6 retries that only a request whose connection broke may spend. They were earned by requests before, so that the bound from the first request on still holds; the property test now covers it. An attempt that surely reached no upstream needs no budget for the next one; such attempts are bounded by 3 per request and host, also at a host that runs a relayed request.

The property test draws up to five requests a step and spends all that the budget allows, with and without crashes.

Conclusion: crash victims no longer compete for the budget of the last second.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -38,12 +38,15 @@
 from .peers import PeerService
 from .quarantine import Quarantine, Verdict
 from .relay import RelayClient, RelayMode
-from .retries import RetryBudget, attempt_deadline, may_retry
+from .retries import RetryBudget, attempt_deadline, may_retry, reached_upstream
 from .room import Room
 from .router import Router
 from .upstreamstate import DispatchOutcome, UpstreamStates
 
 MAX_ATTEMPTS: Final = 3
+# Attempts that wrote nothing are counted apart: a crashed upstream refuses
+# connections until it has restarted, and the request has cost it nothing.
+MAX_UNREACHED: Final = 3
 MAX_RELAYS: Final = 2
 # Time that an upstream may need to notice a closed connection.
 CANCEL_NOTICE_S: Final = 0.25
@@ -201,12 +204,16 @@
         self, job: Job, last: Received, place: Place | PeerPlace, budget: RetryBudget
     ) -> bool:
         """Tell whether the job may be tried again after this result."""
-        if not job.relay_allowed:
-            # Only the host that the caller chose retries: a relayed request
-            # would otherwise earn and spend retries at two hosts.
-            return False
         now = self._reactor.seconds()
-        if now >= job.deadline or job.attempts >= MAX_ATTEMPTS:
+        if now >= job.deadline or job.unreached >= MAX_UNREACHED:
+            return False
+        if job.attempts - job.unreached >= MAX_ATTEMPTS:
+            return False
+        unreached = isinstance(last, Err) and not reached_upstream(last.err_value)
+        if not job.relay_allowed and not (unreached and isinstance(place, Place)):
+            # Only the host that the caller chose repeats what may have cost an
+            # upstream something: a relayed request would otherwise earn and
+            # spend retries at two hosts.
             return False
         if isinstance(last, Ok):
             if not _is_retryable_answer(job, last.ok_value):
@@ -215,15 +222,10 @@
             last.err_value, job.service.idempotent, job.req.answered, job.replayable
         ):
             return False
-        # A peer that refused, not its upstream, cost no upstream anything.
-        refused_by_peer = (
-            isinstance(place, PeerPlace)
-            and job.life.outcome() is Outcome.DID_NOT_RUN
-            and last != Err(ErrorKind.UPSTREAM_REFUSED)
-        )
-        if refused_by_peer:
+        if unreached:
             return True
-        if not budget.take(now):
+        after_crash = last == Err(ErrorKind.UPSTREAM_BROKEN)
+        if not budget.take(now, after_crash):
             return False
         self._metrics.count_retry(job.service.name)
         return True
@@ -342,6 +344,7 @@
         sent_at = self._reactor.seconds()
         if isinstance(acquired, Err):
             self._free(place.slot, upstream)
+            job.unreached += 1
             job.tried.add(upstream.name)
             unopened: ErrorKind = acquired.err_value
             if unopened is ErrorKind.CONNECT_FAILED:
@@ -353,6 +356,7 @@
         if refusal is not None:
             conn.cancel()
             self._free(place.slot, upstream)
+            job.unreached += 1
             return Err(refusal)
         deadline = attempt_deadline(job.deadline, job.service.timeout_s, sent_at)
         self._states.note_dispatch(upstream.name, sent_at)
--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -61,6 +61,7 @@
         "service",
         "target",
         "tried",
+        "unreached",
     )
 
     def __init__(
@@ -87,6 +88,7 @@
         self.life: RequestLife = make_request_life()
         self.relay_allowed = True
         self.attempts = 0  # at upstreams of this host
+        self.unreached = 0  # of these, the ones that wrote nothing
         self.relays = 0  # to peers
         self.tried: set[str] = set()  # upstreams and hosts that failed
 
--- a/samphirebend/retries.py
+++ b/samphirebend/retries.py
@@ -19,6 +19,10 @@
 SAVING_DECAY_S: Final = 1.0
 # A host with few requests may save one whole retry, however old.
 SAVING_FLOOR: Final = 1.0
+# Retries kept for requests that were in flight on an upstream that broke. A
+# crash hits several requests at once, often just after the callers have moved
+# to another host and the savings have decayed.
+CRASH_RESERVE: Final = 6.0
 
 # The request surely did not run; another upstream or host may run it.
 _NOT_RUN_KINDS: Final = frozenset(
@@ -35,6 +39,8 @@
         ErrorKind.UPSTREAM_REFUSED,
     }
 )
+# Of these, the one that an upstream itself answered: it was an attempt.
+_UNREACHED_KINDS: Final = _NOT_RUN_KINDS - {ErrorKind.UPSTREAM_REFUSED}
 # The request may have run; running it twice is harmless if it is idempotent.
 _MAY_HAVE_RUN_KINDS: Final = frozenset(
     {
@@ -50,13 +56,16 @@
     """Allows retries up to a share of the requests seen.
 
     Every retry spends what requests have earned before, and nothing is given
-    at the start, so that attempts never exceed 1.1 times the requests.
+    at the start, so that attempts never exceed 1.1 times the requests. Savings
+    that exceed their limit fill a reserve for the victims of a crash; it does
+    not decay, and a failure of another kind cannot spend it.
     """
 
-    __slots__ = ("_recent", "_recent_at", "_saved")
+    __slots__ = ("_recent", "_recent_at", "_reserved", "_saved")
 
     def __init__(self) -> None:
         self._saved = 0.0  # retries
+        self._reserved = 0.0  # retries after a crash
         self._recent = 0.0  # decayed count of requests at _recent_at
         self._recent_at = -math.inf
 
@@ -66,7 +75,10 @@
             self._recent *= math.exp(-age_s / SAVING_DECAY_S)
             self._recent_at = now
         most = max(SAVING_FLOOR, SAVED_PER_REQUEST * self._recent * SAVING_DECAY_S)
-        self._saved = min(self._saved, most)
+        if self._saved > most:
+            spare = self._saved - most
+            self._reserved = min(CRASH_RESERVE, self._reserved + spare)
+            self._saved = most
 
     def note_request(self, now: float) -> None:
         """Count a request of a caller of this host."""
@@ -74,13 +86,16 @@
         self._recent += 1.0
         self._age(now)
 
-    def take(self, now: float) -> bool:
+    def take(self, now: float, after_crash: bool = False) -> bool:
         """Return whether one retry may be made now, and spend it."""
         self._age(now)
-        if self._saved < 1.0:
-            return False
-        self._saved -= 1.0
-        return True
+        if self._saved >= 1.0:
+            self._saved -= 1.0
+            return True
+        if after_crash and self._reserved >= 1.0:
+            self._reserved -= 1.0
+            return True
+        return False
 
 
 def may_retry(
@@ -104,6 +119,20 @@
     return kind in _NOT_RUN_KINDS or (idempotent and kind in _MAY_HAVE_RUN_KINDS)
 
 
+def reached_upstream(kind: ErrorKind) -> bool:
+    """Return whether an attempt that failed with the kind may have cost an upstream.
+
+    One that surely did not needs no retry budget: the attempt that follows
+    takes its place.
+
+    >>> reached_upstream(ErrorKind.CONNECT_FAILED)
+    False
+    >>> reached_upstream(ErrorKind.UPSTREAM_REFUSED)
+    True
+    """
+    return kind not in _UNREACHED_KINDS
+
+
 def attempt_deadline(
     request_deadline: float, service_timeout_s: float, now: float
 ) -> float:
--- a/tests/unit/test_retries.py
+++ b/tests/unit/test_retries.py
@@ -6,23 +6,69 @@
 from hypothesis import given, strategies as st
 
 from samphirebend.errorcodes import ANSWERS, ErrorKind, Outcome
-from samphirebend.retries import RetryBudget, may_retry, time_for_attempt
+from samphirebend.retries import (
+    CRASH_RESERVE,
+    RetryBudget,
+    may_retry,
+    reached_upstream,
+    time_for_attempt,
+)
 
 
-@given(st.lists(st.tuples(st.booleans(), st.floats(0.0, 2.0)), max_size=300))
-def test_attempts_stay_within_the_share(steps: list[tuple[bool, float]]) -> None:
-    # Retries may never exceed a tenth of the requests, from the first one on.
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.floats(0.0, 2.0)), max_size=300),
+    st.booleans(),
+)
+def test_attempts_stay_within_the_share(
+    steps: list[tuple[int, float]], crashes: bool
+) -> None:
+    # Retries may never exceed a tenth of the requests, from the first one on,
+    # also if all of them follow crashes.
     budget, now, requests, retries = RetryBudget(), 0.0, 0, 0
-    for is_request, step_s in steps:
+    for choice, step_s in steps:
         now += step_s
-        if is_request:
-            requests += 1
-            budget.note_request(now)
+        if choice:
+            requests += choice
+            for _ in range(choice):
+                budget.note_request(now)
         else:
-            retries += budget.take(now)
+            while budget.take(now, crashes):
+                retries += 1
         assert requests + retries <= 1.1 * requests
 
 
+def test_reserve_outlasts_the_savings_for_crashes_only() -> None:
+    # Callers move between hosts every few seconds, and a crash of an upstream
+    # just after that lost the requests still in flight there.
+    budget = RetryBudget()
+    for step in range(500):
+        budget.note_request(step / 100)
+    now = 60.0
+    assert budget.take(now)
+    assert not budget.take(now), "the reserve was spent without a crash"
+    allowed = sum(budget.take(now, after_crash=True) for _ in range(20))
+    assert allowed == CRASH_RESERVE
+
+
+def test_lasting_crashes_do_not_refill_the_reserve() -> None:
+    # If every request breaks its upstream, only the earned share may be spent.
+    budget, rate_per_s, retries = RetryBudget(), 100, 0
+    for step in range(20 * rate_per_s):
+        now = step / rate_per_s
+        budget.note_request(now)
+        if now >= 10.0:
+            retries += budget.take(now, after_crash=True)
+    assert retries <= 0.1 * 10 * rate_per_s + CRASH_RESERVE
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_only_attempts_that_did_not_run_are_free(kind: ErrorKind) -> None:
+    # An attempt that an upstream saw and that no budget counts adds load to it.
+    if not reached_upstream(kind):
+        assert ANSWERS[kind].outcome is Outcome.DID_NOT_RUN
+    assert reached_upstream(ErrorKind.UPSTREAM_REFUSED)
+
+
 @pytest.mark.parametrize("rate_per_s", [2, 50, 1000])
 def test_brown_out_after_calm_stays_within_the_share(rate_per_s: int) -> None:
     # Savings of a calm hour must not be spent at once when all requests fail.
