Keep an upstream free for a waiting suspect

Cause: of 9 traced lost reads, 3 were refused because the only host that may run the suspect had been tried before it was one (its upstream was the one that crashed), and 4 because no upstream at the runner was idle within 1 s: at two requests in flight for each upstream on average, new work kept all busy. In two of these four an idle upstream had restarted, but the slots of the requests that the crash ended still counted as in use.

Ruled out: a longer wait alone. An upstream that takes new work all the time seldom gets idle, however long the suspect waits.

Change: a waiting suspect claims one upstream of its service, where no other new work starts until the claim ends; several suspects share the claim and run in turn. An idle upstream without a free slot is not claimed. The wait is the request's deadline, at most 3 s. The runner is asked once even if it was tried before. A trial begins when its connection is sought, so that no request joins it and no second trial of the same request begins meanwhile. A freed slot wakes a queued request only if the upstream takes new work, and after the end of a trial is noted; an upstream kept for a suspect counts as full, not as missing.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -52,9 +52,9 @@
 CANCEL_NOTICE_S: Final = 0.25
 # Added to the dispatch deadline before its slot counts as free.
 DEADLINE_GRACE_S: Final = 0.05
-# A suspect waits for an idle upstream this long; at once it would often fail,
-# since a busy service seldom has an upstream with nothing in flight.
-SUSPECT_WAIT_S: Final = 1.0
+# Bounds the time for which a waiting suspect keeps an upstream from other work.
+# With 1 s, suspects that ran in turn on a busy service were refused.
+SUSPECT_WAIT_S: Final = 3.0
 SUSPECT_RECHECK_S: Final = 0.01
 # A peer answers with these when it has no slot for a request.
 FULL_KINDS: Final = (ErrorKind.CAP_REACHED, ErrorKind.REGION_CAP_REACHED)
@@ -74,12 +74,13 @@
 
 
 class PeerPlace:
-    """A peer that is expected to have a free slot."""
+    """A peer that is expected to have a free slot, or is to run a suspect."""
 
-    __slots__ = ("host",)
+    __slots__ = ("alone", "host")
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, alone: bool = False) -> None:
         self.host = host
+        self.alone = alone
 
 
 class SlotQueue:
@@ -245,7 +246,11 @@
         if alone and job.relay_allowed:
             runner = self._router.runner_of_suspect(job, now)
             if runner != self._host:
-                return self._peer_or_full(job, runner)
+                # The runner may have been tried before the crash; it is asked
+                # once more, since no other host may run the suspect.
+                if runner in job.runners:
+                    return ErrorKind.CAP_REACHED
+                return PeerPlace(runner, alone=True)
         must_queue = not alone and not waited and not job.attempts
         if must_queue and self._queue.length(job.service.name):
             # Those that wait come first.
@@ -262,11 +267,6 @@
             return place
         return self._choose_peer(job, 0, now) or place
 
-    def _peer_or_full(self, job: Job, host: str) -> PeerPlace | ErrorKind:
-        if host in job.tried:
-            return ErrorKind.CAP_REACHED
-        return PeerPlace(host)
-
     def _choose_peer(self, job: Job, own_free: int, now: float) -> PeerPlace | None:
         if not job.relay_allowed or job.relays >= MAX_RELAYS:
             return None
@@ -280,9 +280,13 @@
         rooms = self._limits.rooms(job.service.name)
         if not rooms:
             return ErrorKind.LEASE_LAPSED
-        usable = [room for room in rooms if self._is_usable(job, room, alone, now)]
-        if not usable:
+        open_rooms = [room for room in rooms if self._is_open(job, room, now)]
+        if not open_rooms:
             return ErrorKind.NO_UPSTREAM
+        joinable = self._quarantine.idle if alone else self._takes_work
+        usable = [room for room in open_rooms if joinable(room.upstream)]
+        if not usable:
+            return ErrorKind.CAP_REACHED
         name = self._router.upstream_for(usable, now)
         if name is None:
             return ErrorKind.CAP_REACHED
@@ -292,11 +296,13 @@
             return kind
         return Place(manifest.upstreams[name], reserved.ok_value, alone)
 
-    def _is_usable(self, job: Job, room: Room, alone: bool, now: float) -> bool:
+    def _takes_work(self, upstream: str) -> bool:
+        return not self._quarantine.held_for_trial(upstream)
+
+    def _is_open(self, job: Job, room: Room, now: float) -> bool:
+        """Tell whether the job may go to an upstream, however busy that is."""
         name = room.upstream
-        if name in job.tried or self._quarantine.held_for_trial(name):
-            return False
-        if alone and not self._quarantine.idle(name):
+        if name in job.tried:
             return False
         room.limit = self._states.limit(name, room.limit, now)
         shard = self.shards.get(name, "")
@@ -316,13 +322,61 @@
     async def _wait_for_trial(self, job: Job) -> Place | PeerPlace | ErrorKind:
         """Wait until an upstream is idle or another trial has ended."""
         until = min(job.deadline, self._reactor.seconds() + SUSPECT_WAIT_S)
-        while True:
-            await deferLater(self._reactor, SUSPECT_RECHECK_S)
-            place = self._find_place(job, waited=True)
-            if not isinstance(place, ErrorKind) or not self._runs_trial(job):
-                return place
-            if self._reactor.seconds() >= until or job.req.closed:
-                return place
+        claimed: str | None = None
+        try:
+            while True:
+                claimed = self._move_claim(job, claimed)
+                await deferLater(self._reactor, SUSPECT_RECHECK_S)
+                place = self._find_place(job, waited=True)
+                if not isinstance(place, ErrorKind) or not self._runs_trial(job):
+                    return place
+                if self._reactor.seconds() >= until or job.req.closed:
+                    return place
+        finally:
+            if claimed is not None:
+                self._release_claim(job, claimed)
+
+    def _move_claim(self, job: Job, claimed: str | None) -> str | None:
+        """Claim an upstream for the suspect; return it, or None if it needs none.
+
+        An upstream that another suspect has claimed comes first, so that few
+        are kept from other work.
+        """
+        now = self._reactor.seconds()
+        rooms: list[Room] = []
+        if self._quarantine.verdict(job.fingerprint, now) is Verdict.ALONE:
+            rooms = [
+                room
+                for room in self._limits.rooms(job.service.name)
+                if self._is_open(job, room, now) and self._drains(room)
+            ]
+        if claimed is not None:
+            if any(room.upstream == claimed for room in rooms):
+                return claimed
+            self._release_claim(job, claimed)
+        if not rooms:
+            return None
+        best = min(
+            rooms,
+            key=lambda room: (
+                not self._quarantine.claimed(room.upstream),
+                room.in_flight,
+            ),
+        )
+        self._quarantine.claim(best.upstream)
+        return best.upstream
+
+    def _drains(self, room: Room) -> bool:
+        """Tell whether a suspect can run at the upstream once its work has ended.
+
+        After a crash the slots of what was in flight stay in use until its
+        deadline, though the upstream is idle; a suspect may wait in vain there.
+        """
+        return room.in_flight < room.limit or not self._quarantine.idle(room.upstream)
+
+    def _release_claim(self, job: Job, upstream: str) -> None:
+        self._quarantine.release_claim(upstream)
+        self._wake_for(upstream, job.service.name)
 
     async def _wait_for_slot(self, job: Job) -> bool:
         service = job.service.name
@@ -340,7 +394,10 @@
     async def _send_to(self, job: Job, place: Place) -> Received:
         job.attempts += 1
         upstream = place.upstream
+        begun_at = self._reactor.seconds()
+        self._quarantine.note_connect(job.fingerprint, upstream.name, begun_at)
         acquired = await self._pool.acquire(upstream.address, upstream.name)
+        self._quarantine.note_connect_end(job.fingerprint, upstream.name)
         sent_at = self._reactor.seconds()
         if isinstance(acquired, Err):
             self._free(place.slot, upstream)
@@ -461,21 +518,25 @@
     ) -> Received:
         upstream, now = place.upstream, self._reactor.seconds()
         answer = received.ok()
+        stopped = _is_refusal(answer) or _is_given_up(answer)
+        # The end of a trial is noted first: the request that a free slot wakes
+        # looks for a place at once.
+        if stopped:
+            self._quarantine.note_end(job.fingerprint, upstream.name)
+        else:
+            self._quarantine.note_answer(job.fingerprint, upstream.name, now)
         self._free(place.slot, upstream)
         if _is_refusal(answer):
             job.life.refuse()
             job.tried.add(upstream.name)
-            self._quarantine.note_end(job.fingerprint, upstream.name)
             self._note(upstream, DispatchOutcome.REFUSED, sent_at)
             return Err(ErrorKind.UPSTREAM_REFUSED)
         if _is_given_up(answer):
             job.life.lose()
             job.tried.add(upstream.name)
-            self._quarantine.note_end(job.fingerprint, upstream.name)
             self._note(upstream, DispatchOutcome.FAILED, sent_at)
             return Err(ErrorKind.UPSTREAM_TIMEOUT)
         job.life.answer()
-        self._quarantine.note_answer(job.fingerprint, upstream.name, now)
         failed = answer is not None and answer.status >= 500
         outcome = DispatchOutcome.FAILED if failed else DispatchOutcome.ANSWERED
         self._note(upstream, outcome, sent_at)
@@ -496,7 +557,12 @@
 
     def _free(self, slot: Slot, upstream: Upstream) -> None:
         self._limits.release(slot)
-        self._queue.wake(upstream.service)
+        self._wake_for(upstream.name, upstream.service)
+
+    def _wake_for(self, upstream: str, service: str) -> None:
+        """Wake a request that waits, unless the upstream takes no new work."""
+        if self._takes_work(upstream):
+            self._queue.wake(service)
 
     def _free_later(self, slot: Slot, upstream: Upstream, wait_s: float) -> None:
         """Free a slot when the upstream has surely stopped working on it."""
@@ -511,6 +577,8 @@
         manifest = self._manifest
         peer = manifest.hosts.get(place.host) if manifest is not None else None
         job.tried.add(place.host)
+        if place.alone:
+            job.runners.add(place.host)
         job.relays += 1
         if peer is None:
             return Err(ErrorKind.NO_UPSTREAM)
--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -58,6 +58,7 @@
         "relays",
         "req",
         "request_id",
+        "runners",
         "service",
         "target",
         "tried",
@@ -91,6 +92,7 @@
         self.unreached = 0  # of these, the ones that wrote nothing
         self.relays = 0  # to peers
         self.tried: set[str] = set()  # upstreams and hosts that failed
+        self.runners: set[str] = set()  # hosts asked to run it as a suspect
 
     @property
     def replayable(self) -> bool:
--- a/samphirebend/quarantine.py
+++ b/samphirebend/quarantine.py
@@ -3,10 +3,11 @@
 `entry` asks for a verdict before each dispatch and reports how it ended. A
 reset without an answer makes everything in flight on that upstream suspect. A
 suspect runs only alone on an upstream, one trial at a time; after two crashes
-it is blocked. Suspects are told to the peers before the caller is answered, so
-that a caller that sends the request again through another host meets the same
-verdict. Two hosts that run the same request before either has told the other
-are outside this bound.
+it is blocked. While a suspect waits, one upstream takes no other new work, since
+a busy service seldom has an upstream with nothing in flight. Suspects are told
+to the peers before the caller is answered, so that a caller that sends the
+request again through another host meets the same verdict. Two hosts that run the
+same request before either has told the other are outside this bound.
 """
 
 from __future__ import annotations
@@ -73,13 +74,15 @@
 class Quarantine:
     """Suspects, and the requests in flight on each upstream of this host."""
 
-    __slots__ = ("_in_flight", "_suspects", "_trials")
+    __slots__ = ("_claims", "_connecting", "_in_flight", "_suspects", "_trials")
 
     def __init__(self) -> None:
         # Upstream to fingerprints with their counts.
         self._in_flight: dict[str, dict[int, int]] = {}
         self._suspects: OrderedDict[int, _Suspect] = OrderedDict()  # oldest first
         self._trials: dict[int, str] = {}  # suspect in flight, and its upstream
+        self._connecting: dict[str, int] = {}  # requests that wait for a connection
+        self._claims: dict[str, int] = {}  # suspects that wait for each upstream
 
     @staticmethod
     def fingerprint(service: str, method: str, target: str, body_digest: bytes) -> int:
@@ -104,11 +107,42 @@
 
     def idle(self, upstream: str) -> bool:
         """Return whether nothing is in flight, as a suspect's trial requires."""
-        return not self._in_flight.get(upstream)
+        return not self._in_flight.get(upstream) and not self._connecting.get(upstream)
 
     def held_for_trial(self, upstream: str) -> bool:
-        """Return whether a suspect runs alone there, so that nothing may join."""
-        return upstream in self._trials.values()
+        """Return whether a suspect runs or waits there, so that nothing may join."""
+        return upstream in self._claims or upstream in self._trials.values()
+
+    def claimed(self, upstream: str) -> bool:
+        """Return whether a suspect waits for the upstream to become idle."""
+        return upstream in self._claims
+
+    def claim(self, upstream: str) -> None:
+        """Keep new work from the upstream until `release_claim`.
+
+        Several suspects may claim one upstream; they run there in turn.
+        """
+        self._claims[upstream] = self._claims.get(upstream, 0) + 1
+
+    def release_claim(self, upstream: str) -> None:
+        """End one claim."""
+        _subtract(self._claims, upstream)
+
+    def note_connect(self, fingerprint: int, upstream: str, now: float) -> None:
+        """Record that a connection is sought for the request.
+
+        A trial begins here: while a connection is opened, neither may another
+        request join it nor a second trial of the same request begin.
+        """
+        self._connecting[upstream] = self._connecting.get(upstream, 0) + 1
+        if self._find(fingerprint, now) is not None:
+            self._trials[fingerprint] = upstream
+
+    def note_connect_end(self, fingerprint: int, upstream: str) -> None:
+        """Record that the connection is open, or that nothing will be sent."""
+        _subtract(self._connecting, upstream)
+        if fingerprint not in self._in_flight.get(upstream, ()):
+            self._end_trial(fingerprint, upstream)
 
     def note_dispatch(self, fingerprint: int, upstream: str, now: float) -> None:
         """Record that the request is sent to the upstream."""
@@ -127,8 +161,11 @@
             counts.pop(fingerprint, None)
             if not counts:
                 self._in_flight.pop(upstream, None)
-            if self._trials.get(fingerprint) == upstream:
-                del self._trials[fingerprint]
+            self._end_trial(fingerprint, upstream)
+
+    def _end_trial(self, fingerprint: int, upstream: str) -> None:
+        if self._trials.get(fingerprint) == upstream:
+            del self._trials[fingerprint]
 
     def note_answer(self, fingerprint: int, upstream: str, now: float) -> None:
         """Record an answer; it clears a suspect that crashed only in company."""
@@ -147,8 +184,7 @@
         counts = self._in_flight.pop(upstream, {})
         in_company = sum(counts.values()) > 1
         for item in counts:
-            if self._trials.get(item) == upstream:
-                del self._trials[item]
+            self._end_trial(item, upstream)
             suspect = self._find(item, now)
             if suspect is None:
                 suspect = self._add(item, _Suspect(0, in_company, local=True))
@@ -197,3 +233,12 @@
             for item, suspect in self._suspects.items()
             if suspect.local and now < suspect.expires_at - TELL_MARGIN_S
         ]
+
+
+def _subtract(counts: dict[str, int], name: str) -> None:
+    """Count one down, and drop a count of zero."""
+    left = counts.get(name, 0) - 1
+    if left > 0:
+        counts[name] = left
+    else:
+        counts.pop(name, None)
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -14,14 +14,17 @@
 from samphirebend.dispatch import (
     MAX_ATTEMPTS,
     MAX_UNREACHED,
+    SUSPECT_RECHECK_S,
+    SUSPECT_WAIT_S,
     Dispatcher,
     PeerPlace,
     Place,
 )
 from samphirebend.errorcodes import ErrorKind, Outcome
 from samphirebend.job import Job
-from samphirebend.quarantine import Verdict
+from samphirebend.quarantine import Quarantine, Verdict
 from samphirebend.retries import RetryBudget
+from samphirebend.wire import Suspect
 
 PEER = PeerPlace("north-1")
 OWN = Place(Mock(), Mock(), alone=False)
@@ -87,6 +90,21 @@
     assert make_dispatcher()._may_go_on(job, last, OWN, empty) is goes_on
 
 
+def test_runner_of_a_suspect_is_asked_once_though_it_was_tried() -> None:
+    """Guards against a victim of a crash that no host may run any more."""
+    quarantine, router = Mock(), Mock()
+    quarantine.verdict.return_value = Verdict.ALONE
+    router.runner_of_suspect.return_value = "north-1"
+    dispatcher = make_dispatcher(quarantine=quarantine, router=router)
+    job = make_job(relay_allowed=True)
+    job.tried.add("north-1")  # its upstream crashed with the request in flight
+    place = dispatcher._find_place(job, waited=False)
+    assert isinstance(place, PeerPlace)
+    assert place.host == "north-1"
+    Deferred.fromCoroutine(dispatcher._relay_to(job, place))
+    assert dispatcher._find_place(job, waited=False) is ErrorKind.CAP_REACHED
+
+
 def test_nothing_is_written_if_the_lease_ends_while_connecting() -> None:
     names = ("limits", "keeper", "states", "peers", "quarantine", "pool")
     parts: dict[str, Any] = {name: Mock() for name in (*names, "relay", "router")}
@@ -121,3 +139,76 @@
     assert results == [Err(ErrorKind.LEASE_LAPSED)]
     assert job.life.outcome() is Outcome.DID_NOT_RUN
     limits.release.assert_called_once_with("slot")
+
+
+class WaitingSuspect:
+    """A suspect at its runner, whose two upstreams have requests in flight."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.quarantine = Quarantine()
+        self.quarantine.merge([Suspect(1, 1)], 0.0)
+        rooms = {"busy": Mock(in_flight=3), "less-busy": Mock(in_flight=1)}
+        self.rooms = rooms
+        for name, room in rooms.items():
+            room.upstream, room.limit = name, 4
+            self.quarantine.note_dispatch(9, name, 0.0)
+        limits, keeper, states, router = Mock(), Mock(), Mock(), Mock()
+        limits.rooms.return_value = list(rooms.values())
+        limits.reserve.return_value = Ok("slot")
+        keeper.may_dispatch.return_value = True
+        states.limit.side_effect = lambda name, slots, now: slots
+        router.runner_of_suspect.return_value = "north-0"
+        router.upstream_for.side_effect = lambda usable, now: next(
+            (room.upstream for room in usable if room.in_flight < room.limit), None
+        )
+        dispatcher = make_dispatcher(
+            reactor=self.clock,
+            limits=limits,
+            keeper=keeper,
+            states=states,
+            router=router,
+            quarantine=self.quarantine,
+        )
+        dispatcher.apply(Mock(upstreams={name: name for name in rooms}), {})
+        job = make_job(relay_allowed=True)
+        job.fingerprint, job.deadline, job.req.closed = 1, 100.0, False
+        self.results: list[Any] = []
+        waiting = Deferred.fromCoroutine(dispatcher._wait_for_trial(job))
+        waiting.addBoth(self.results.append)
+
+
+def test_waiting_suspect_drains_one_upstream_and_runs_there() -> None:
+    """Guards against a suspect that waits in vain while new work arrives."""
+    suspect = WaitingSuspect()
+    assert suspect.quarantine.held_for_trial("less-busy")
+    assert not suspect.quarantine.held_for_trial("busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert not suspect.results, "something is still in flight there"
+    suspect.quarantine.note_end(9, "less-busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "less-busy"
+    assert not suspect.quarantine.claimed("less-busy")
+
+
+def test_suspect_leaves_an_upstream_whose_slots_outlast_a_crash() -> None:
+    """Guards against a suspect that waits for a crashed upstream until it is late."""
+    suspect = WaitingSuspect()
+    suspect.quarantine.note_crash("less-busy", 0.0)
+    suspect.rooms["less-busy"].limit = 1  # ramped, and in use until the deadline
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert not suspect.quarantine.held_for_trial("less-busy")
+    assert suspect.quarantine.held_for_trial("busy")
+    suspect.quarantine.note_end(9, "busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "busy"
+
+
+def test_suspect_that_waited_in_vain_holds_no_upstream() -> None:
+    """Guards against an upstream that takes no work because of an old suspect."""
+    suspect = WaitingSuspect()
+    suspect.clock.pump([SUSPECT_RECHECK_S] * int(SUSPECT_WAIT_S / SUSPECT_RECHECK_S))
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results == [ErrorKind.CAP_REACHED]
+    assert not suspect.quarantine.held_for_trial("less-busy")
+    assert not suspect.quarantine.held_for_trial("busy")
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -62,6 +62,59 @@
     assert not item.held_for_trial("v")
 
 
+def test_upstream_is_held_until_the_last_claim_ends() -> None:
+    # New work would keep a busy upstream from ever getting idle for a suspect.
+    item = Quarantine()
+    item.note_dispatch(9, "u", 0.0)
+    item.claim("u")
+    item.claim("u")
+    assert item.claimed("u")
+    assert item.held_for_trial("u")
+    assert not item.idle("u"), "what is in flight has not ended"
+    item.release_claim("u")
+    assert item.held_for_trial("u")
+    item.release_claim("u")
+    assert not item.held_for_trial("u")
+    item.release_claim("u")
+    assert not item.claimed("u")
+
+
+def test_trial_begins_before_its_connection_is_open() -> None:
+    # Opening a connection takes time, in which a second trial of the same
+    # request would crash a third upstream.
+    item = Quarantine()
+    item.merge([Suspect(1, 1)], 0.0)
+    item.note_connect(1, "u", 0.1)
+    assert item.verdict(1, 0.1) is Verdict.WAIT
+    assert item.held_for_trial("u")
+    assert not item.idle("u")
+    item.note_connect_end(1, "u")  # the connection could not be opened
+    assert item.verdict(1, 0.2) is Verdict.ALONE
+    assert not item.held_for_trial("u")
+    assert item.idle("u")
+
+
+def test_no_trial_beside_a_request_that_is_connecting() -> None:
+    # It would be in flight with the suspect a moment later.
+    item = Quarantine()
+    item.note_connect(9, "u", 0.0)
+    assert not item.idle("u")
+    assert not item.held_for_trial("u"), "9 is no suspect"
+    item.note_connect_end(9, "u")
+    item.note_dispatch(9, "u", 0.1)
+    assert not item.idle("u")
+
+
+def test_second_copy_that_cannot_connect_ends_no_trial() -> None:
+    item = Quarantine()
+    item.merge([Suspect(1, 1)], 0.0)
+    item.note_dispatch(1, "u", 0.0)
+    item.note_connect(1, "u", 0.1)
+    item.note_connect_end(1, "u")
+    assert item.verdict(1, 0.2) is Verdict.WAIT
+    assert item.held_for_trial("u")
+
+
 def test_hosts_do_not_renew_each_others_suspects() -> None:
     # Hearsay that is told on would circulate for ever.
     first, second = Quarantine(), Quarantine()
