Let a suspect wait for its trial once

Cause: a suspect that had waited in vain joined the queue for a slot and, when a slot was freed, began a second wait, so that it could keep an upstream from other work for twice the 3 s.

Change: a suspect does not join the queue for a slot.

Before: the new unit test failed. After: it passes.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -189,7 +189,9 @@
             if isinstance(place, ErrorKind) and self._runs_trial(job):
                 place = await self._wait_for_trial(job)
             if isinstance(place, ErrorKind):
-                if place is ErrorKind.CAP_REACHED and not waited:
+                # A suspect has waited for its trial.
+                queues = not waited and not self._runs_trial(job)
+                if place is ErrorKind.CAP_REACHED and queues:
                     waited = True
                     if await self._wait_for_slot(job):
                         continue
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -35,7 +35,7 @@
     names = ["limits", "keeper", "states", "peers", "quarantine", "pool"]
     given: Any = dict.fromkeys([*names, "relay", "router", "metrics"])
     given["reactor"] = Clock()
-    return Dispatcher("north-0", **{**given, **parts}, queue_wait_s=0.0)
+    return Dispatcher("north-0", **{**given, **parts}, queue_wait_s=0.03)
 
 
 def make_job(relay_allowed: bool) -> Job:
@@ -162,7 +162,8 @@
         router.upstream_for.side_effect = lambda usable, now: next(
             (room.upstream for room in usable if room.in_flight < room.limit), None
         )
-        dispatcher = make_dispatcher(
+        limits.total.return_value = 8
+        self.dispatcher = make_dispatcher(
             reactor=self.clock,
             limits=limits,
             keeper=keeper,
@@ -170,17 +171,26 @@
             router=router,
             quarantine=self.quarantine,
         )
-        dispatcher.apply(Mock(upstreams={name: name for name in rooms}), {})
-        job = make_job(relay_allowed=True)
-        job.fingerprint, job.deadline, job.req.closed = 1, 100.0, False
+        self.dispatcher.apply(Mock(upstreams={name: name for name in rooms}), {})
+        self.job = make_job(relay_allowed=True)
+        self.job.fingerprint, self.job.deadline = 1, 100.0
+        self.job.req.closed = False
         self.results: list[Any] = []
-        waiting = Deferred.fromCoroutine(dispatcher._wait_for_trial(job))
-        waiting.addBoth(self.results.append)
+
+    def start(self, work: Any) -> None:
+        """Start a coroutine of the dispatcher and keep its result."""
+        Deferred.fromCoroutine(work).addBoth(self.results.append)
+
+    def wait_in_vain(self) -> None:
+        """Let the longest wait pass."""
+        self.clock.pump([SUSPECT_RECHECK_S] * int(SUSPECT_WAIT_S / SUSPECT_RECHECK_S))
+        self.clock.advance(SUSPECT_RECHECK_S)
 
 
 def test_waiting_suspect_drains_one_upstream_and_runs_there() -> None:
     """Guards against a suspect that waits in vain while new work arrives."""
     suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
     assert suspect.quarantine.held_for_trial("less-busy")
     assert not suspect.quarantine.held_for_trial("busy")
     suspect.clock.advance(SUSPECT_RECHECK_S)
@@ -194,6 +204,7 @@
 def test_suspect_leaves_an_upstream_whose_slots_outlast_a_crash() -> None:
     """Guards against a suspect that waits for a crashed upstream until it is late."""
     suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
     suspect.quarantine.note_crash("less-busy", 0.0)
     suspect.rooms["less-busy"].limit = 1  # ramped, and in use until the deadline
     suspect.clock.advance(SUSPECT_RECHECK_S)
@@ -207,8 +218,19 @@
 def test_suspect_that_waited_in_vain_holds_no_upstream() -> None:
     """Guards against an upstream that takes no work because of an old suspect."""
     suspect = WaitingSuspect()
-    suspect.clock.pump([SUSPECT_RECHECK_S] * int(SUSPECT_WAIT_S / SUSPECT_RECHECK_S))
-    suspect.clock.advance(SUSPECT_RECHECK_S)
+    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
+    suspect.wait_in_vain()
     assert suspect.results == [ErrorKind.CAP_REACHED]
     assert not suspect.quarantine.held_for_trial("less-busy")
     assert not suspect.quarantine.held_for_trial("busy")
+
+
+def test_suspect_waits_once() -> None:
+    """Guards against a second wait, which would hold an upstream twice as long."""
+    suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher.run(suspect.job))
+    suspect.wait_in_vain()
+    suspect.dispatcher._queue.wake("read")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results == [Err(ErrorKind.CAP_REACHED)]
+    assert not suspect.quarantine.held_for_trial("less-busy")
