Begin a trial before the claim of its upstream ends

Cause: a claim ended when a suspect had reserved its slot, and the trial began a moment later. The end of a claim wakes a queued request, which could join the suspect at its upstream and be crashed by it.

Change: the trial begins when the slot is reserved.

Before: the new unit test failed.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -296,6 +296,8 @@
         if isinstance(reserved, Err):
             kind: ErrorKind = reserved.err_value
             return kind
+        # Before a claim ends: a request that is woken then must find the trial.
+        self._quarantine.note_connect(job.fingerprint, name, now)
         return Place(manifest.upstreams[name], reserved.ok_value, alone)
 
     def _takes_work(self, upstream: str) -> bool:
@@ -396,8 +398,6 @@
     async def _send_to(self, job: Job, place: Place) -> Received:
         job.attempts += 1
         upstream = place.upstream
-        begun_at = self._reactor.seconds()
-        self._quarantine.note_connect(job.fingerprint, upstream.name, begun_at)
         acquired = await self._pool.acquire(upstream.address, upstream.name)
         self._quarantine.note_connect_end(job.fingerprint, upstream.name)
         sent_at = self._reactor.seconds()
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -175,6 +175,7 @@
         self.job = make_job(relay_allowed=True)
         self.job.fingerprint, self.job.deadline = 1, 100.0
         self.job.req.closed = False
+        self.router = router
         self.results: list[Any] = []
 
     def start(self, work: Any) -> None:
@@ -201,6 +202,27 @@
     assert not suspect.quarantine.claimed("less-busy")
 
 
+def test_no_queued_request_joins_a_trial_that_is_about_to_begin() -> None:
+    """Guards against a request that is woken as a claim ends and is crashed."""
+    suspect = WaitingSuspect()
+    places = suspect.dispatcher
+    suspect.start(places._wait_for_trial(suspect.job))
+    other = make_job(relay_allowed=True)
+    other.fingerprint, other.deadline = 2, 100.0
+    joined: list[Any] = []
+    queued = Deferred.fromCoroutine(places._wait_for_slot(other))
+    queued.addCallback(lambda _: joined.append(places._find_place(other, waited=True)))
+    suspect.router.own_free.return_value = 0
+    suspect.router.peer_for.return_value = None
+    suspect.rooms["busy"].in_flight = 4
+    suspect.quarantine.note_end(9, "less-busy")
+    suspect.rooms["less-busy"].in_flight = 0
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "less-busy"
+    suspect.clock.advance(1.0)
+    assert joined == [ErrorKind.CAP_REACHED]
+
+
 def test_suspect_leaves_an_upstream_whose_slots_outlast_a_crash() -> None:
     """Guards against a suspect that waits for a crashed upstream until it is late."""
     suspect = WaitingSuspect()
