Split the finding of places from the attempts

The methods moved unchanged but for their names; the dispatcher's constructor and the daemon are the same.

Conclusion: no change of behaviour.

--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -1,22 +1,18 @@
-"""Finds a place for a request, sends it there and retries where that is safe.
+"""Sends a request to the places found for it and retries where that is safe.
 
-A place is a slot of an upstream whose shard this host holds, or else a peer
-that reported free slots. The lease is checked immediately before the write.
-Whether a failure may be retried follows from the request's life cycle and the
-retry budget; whether a slot is free again after a failure follows from the
-deadline that the upstream was given.
+The lease is checked immediately before the write. Whether a failure may be
+retried follows from the request's life cycle and the retry budget; whether a
+slot is free again after a failure follows from the deadline that the upstream
+was given. `places` finds the upstream or the peer for each attempt.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Final
 
 from loguru import logger
 from result import Err, Ok
-from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
 
 from .errorcodes import ErrorKind, Outcome
 from .exchange import (
@@ -36,10 +32,10 @@
 from .manifest import Manifest, Upstream
 from .metrics import Metrics
 from .peers import PeerService
-from .quarantine import Quarantine, Verdict
+from .places import PeerPlace, Place, PlaceFinder
+from .quarantine import Quarantine
 from .relay import RelayClient, RelayMode
 from .retries import RetryBudget, attempt_deadline, may_retry, reached_upstream
-from .room import Room
 from .router import Router
 from .upstreamstate import DispatchOutcome, UpstreamStates
 
@@ -47,96 +43,34 @@
 # Attempts that wrote nothing are counted apart: a crashed upstream refuses
 # connections until it has restarted, and the request has cost it nothing.
 MAX_UNREACHED: Final = 3
-MAX_RELAYS: Final = 2
 # Time that an upstream may need to notice a closed connection.
 CANCEL_NOTICE_S: Final = 0.25
 # Added to the dispatch deadline before its slot counts as free.
 DEADLINE_GRACE_S: Final = 0.05
-# Bounds the time for which a waiting suspect keeps an upstream from other work.
-# With 1 s, suspects that ran in turn on a busy service were refused.
-SUSPECT_WAIT_S: Final = 3.0
-SUSPECT_RECHECK_S: Final = 0.01
 # A peer answers with these when it has no slot for a request.
 FULL_KINDS: Final = (ErrorKind.CAP_REACHED, ErrorKind.REGION_CAP_REACHED)
 # Peers hear of a crash before the caller is answered, but not at any price.
 NOTIFY_TIMEOUT_S: Final = 0.2
 
 
-class Place:
-    """A reserved slot at an upstream."""
-
-    __slots__ = ("alone", "slot", "upstream")
-
-    def __init__(self, upstream: Upstream, slot: Slot, alone: bool) -> None:
-        self.upstream = upstream
-        self.slot = slot
-        self.alone = alone
-
-
-class PeerPlace:
-    """A peer that is expected to have a free slot, or is to run a suspect."""
-
-    __slots__ = ("alone", "host")
-
-    def __init__(self, host: str, alone: bool = False) -> None:
-        self.host = host
-        self.alone = alone
-
-
-class SlotQueue:
-    """Requests that wait a short time for a slot, oldest first, by service."""
-
-    __slots__ = ("_reactor", "_wait_s", "_waiting")
-
-    def __init__(self, reactor: Any, wait_s: float) -> None:
-        self._reactor = reactor
-        self._wait_s = wait_s
-        self._waiting: dict[str, deque[Deferred[bool]]] = {}
-
-    def length(self, service: str) -> int:
-        """Return the number of requests that wait."""
-        return len(self._waiting.get(service, ()))
-
-    async def wait(self, service: str) -> bool:
-        """Wait for a slot; the result is false when the time has passed."""
-        turn: Deferred[bool] = Deferred()
-        waiting = self._waiting.setdefault(service, deque())
-        waiting.append(turn)
-        timer = self._reactor.callLater(self._wait_s, turn.callback, False)
-        got_slot = await turn
-        if timer.active():
-            timer.cancel()
-        else:
-            waiting.remove(turn)
-        return got_slot
-
-    def wake(self, service: str) -> None:
-        """Let the oldest request try again."""
-        waiting = self._waiting.get(service)
-        if waiting:
-            waiting.popleft().callback(True)
-
-
 class Dispatcher:
     """Runs jobs; one per daemon."""
 
     __slots__ = (
         "_host",
         "_keeper",
-        "_limits",
         "_manifest",
         "_metrics",
         "_peers",
+        "_places",
         "_pool",
         "_quarantine",
-        "_queue",
         "_reactor",
         "_relay",
         "_retries",
         "_router",
         "_states",
         "broken_listeners",
-        "shards",
     )
 
     def __init__(
@@ -156,7 +90,6 @@
     ) -> None:
         self._host = host
         self._reactor = reactor
-        self._limits = limits
         self._keeper = keeper
         self._states = states
         self._peers = peers
@@ -165,17 +98,23 @@
         self._relay = relay
         self._router = router
         self._metrics = metrics
-        self._queue = SlotQueue(reactor, queue_wait_s)
+        self._places = PlaceFinder(
+            host, reactor, limits, keeper, states, quarantine, router, queue_wait_s
+        )
         self._retries: dict[str, RetryBudget] = {}  # by service
         self._manifest: Manifest | None = None
-        self.shards: dict[str, str] = {}  # upstream to shard
         # Called with each upstream that broke a connection or refused one.
         self.broken_listeners: list[Callable[[Upstream], None]] = []
 
     def apply(self, manifest: Manifest, shards: dict[str, str]) -> None:
         """Follow the manifest in force."""
         self._manifest = manifest
-        self.shards = shards
+        self._places.apply(manifest, shards)
+
+    @property
+    def shards(self) -> dict[str, str]:
+        """Return the shard of each upstream."""
+        return self._places.shards
 
     async def run(self, job: Job) -> Received:
         """Dispatch the job until it is answered or must not be tried again."""
@@ -185,15 +124,15 @@
         last: Received | None = None
         waited = False
         while True:
-            place = self._find_place(job, waited)
-            if isinstance(place, ErrorKind) and self._runs_trial(job):
-                place = await self._wait_for_trial(job)
+            place = self._places.find(job, waited)
+            if isinstance(place, ErrorKind) and self._places.runs_trial(job):
+                place = await self._places.wait_for_trial(job)
             if isinstance(place, ErrorKind):
                 # A suspect has waited for its trial.
-                queues = not waited and not self._runs_trial(job)
+                queues = not waited and not self._places.runs_trial(job)
                 if place is ErrorKind.CAP_REACHED and queues:
                     waited = True
-                    if await self._wait_for_slot(job):
+                    if await self._places.wait_for_slot(job):
                         continue
                 return last if last is not None else Err(place)
             if isinstance(place, PeerPlace):
@@ -233,166 +172,6 @@
         self._metrics.count_retry(job.service.name)
         return True
 
-    # Choice of a place.
-
-    def _find_place(self, job: Job, waited: bool) -> Place | PeerPlace | ErrorKind:
-        now = self._reactor.seconds()
-        if now >= job.deadline:
-            return ErrorKind.DEADLINE_PASSED
-        verdict = self._quarantine.verdict(job.fingerprint, now)
-        if verdict is Verdict.BLOCKED:
-            return ErrorKind.REQUEST_QUARANTINED
-        if verdict is Verdict.WAIT:
-            return ErrorKind.CAP_REACHED
-        alone = verdict is Verdict.ALONE
-        if alone and job.relay_allowed:
-            runner = self._router.runner_of_suspect(job, now)
-            if runner != self._host:
-                # The runner may have been tried before the crash; it is asked
-                # once more, since no other host may run the suspect.
-                if runner in job.runners:
-                    return ErrorKind.CAP_REACHED
-                return PeerPlace(runner, alone=True)
-        must_queue = not alone and not waited and not job.attempts
-        if must_queue and self._queue.length(job.service.name):
-            # Those that wait come first.
-            return self._choose_peer(job, 0, now) or ErrorKind.CAP_REACHED
-        if alone:
-            return self._own_place(job, alone, now)
-        own_free = self._router.own_free(job.service.name, now)
-        if own_free:
-            peer = self._choose_peer(job, own_free, now)
-            if peer is not None:
-                return peer
-        place = self._own_place(job, alone, now)
-        if isinstance(place, Place):
-            return place
-        return self._choose_peer(job, 0, now) or place
-
-    def _choose_peer(self, job: Job, own_free: int, now: float) -> PeerPlace | None:
-        if not job.relay_allowed or job.relays >= MAX_RELAYS:
-            return None
-        host = self._router.peer_for(job, own_free, now)
-        return PeerPlace(host) if host is not None else None
-
-    def _own_place(self, job: Job, alone: bool, now: float) -> Place | ErrorKind:
-        manifest = self._manifest
-        if manifest is None:
-            return ErrorKind.NO_MANIFEST
-        rooms = self._limits.rooms(job.service.name)
-        if not rooms:
-            return ErrorKind.LEASE_LAPSED
-        open_rooms = [room for room in rooms if self._is_open(job, room, now)]
-        if not open_rooms:
-            return ErrorKind.NO_UPSTREAM
-        joinable = self._quarantine.idle if alone else self._takes_work
-        usable = [room for room in open_rooms if joinable(room.upstream)]
-        if not usable:
-            return ErrorKind.CAP_REACHED
-        name = self._router.upstream_for(usable, now)
-        if name is None:
-            return ErrorKind.CAP_REACHED
-        reserved = self._limits.reserve(name, now)
-        if isinstance(reserved, Err):
-            kind: ErrorKind = reserved.err_value
-            return kind
-        # Before a claim ends: a request that is woken then must find the trial.
-        self._quarantine.note_connect(job.fingerprint, name, now)
-        return Place(manifest.upstreams[name], reserved.ok_value, alone)
-
-    def _takes_work(self, upstream: str) -> bool:
-        return not self._quarantine.held_for_trial(upstream)
-
-    def _is_open(self, job: Job, room: Room, now: float) -> bool:
-        """Tell whether the job may go to an upstream, however busy that is."""
-        name = room.upstream
-        if name in job.tried:
-            return False
-        room.limit = self._states.limit(name, room.limit, now)
-        shard = self.shards.get(name, "")
-        return room.limit > 0 and self._keeper.may_dispatch(shard, now)
-
-    def _runs_trial(self, job: Job) -> bool:
-        """Tell whether this host is to run the job alone on an upstream."""
-        now = self._reactor.seconds()
-        verdict = self._quarantine.verdict(job.fingerprint, now)
-        if verdict not in (Verdict.ALONE, Verdict.WAIT):
-            return False
-        return (
-            not job.relay_allowed
-            or self._router.runner_of_suspect(job, now) == self._host
-        )
-
-    async def _wait_for_trial(self, job: Job) -> Place | PeerPlace | ErrorKind:
-        """Wait until an upstream is idle or another trial has ended."""
-        until = min(job.deadline, self._reactor.seconds() + SUSPECT_WAIT_S)
-        claimed: str | None = None
-        try:
-            while True:
-                claimed = self._move_claim(job, claimed)
-                await deferLater(self._reactor, SUSPECT_RECHECK_S)
-                place = self._find_place(job, waited=True)
-                if not isinstance(place, ErrorKind) or not self._runs_trial(job):
-                    return place
-                if self._reactor.seconds() >= until or job.req.closed:
-                    return place
-        finally:
-            if claimed is not None:
-                self._release_claim(job, claimed)
-
-    def _move_claim(self, job: Job, claimed: str | None) -> str | None:
-        """Claim an upstream for the suspect; return it, or None if it needs none.
-
-        An upstream that another suspect has claimed comes first, so that few
-        are kept from other work.
-        """
-        now = self._reactor.seconds()
-        rooms: list[Room] = []
-        if self._quarantine.verdict(job.fingerprint, now) is Verdict.ALONE:
-            rooms = [
-                room
-                for room in self._limits.rooms(job.service.name)
-                if self._is_open(job, room, now) and self._drains(room)
-            ]
-        if claimed is not None:
-            if any(room.upstream == claimed for room in rooms):
-                return claimed
-            self._release_claim(job, claimed)
-        if not rooms:
-            return None
-        best = min(
-            rooms,
-            key=lambda room: (
-                not self._quarantine.claimed(room.upstream),
-                room.in_flight,
-            ),
-        )
-        self._quarantine.claim(best.upstream)
-        return best.upstream
-
-    def _drains(self, room: Room) -> bool:
-        """Tell whether a suspect can run at the upstream once its work has ended.
-
-        After a crash the slots of what was in flight stay in use until its
-        deadline, though the upstream is idle; a suspect may wait in vain there.
-        """
-        return room.in_flight < room.limit or not self._quarantine.idle(room.upstream)
-
-    def _release_claim(self, job: Job, upstream: str) -> None:
-        self._quarantine.release_claim(upstream)
-        self._wake_for(upstream, job.service.name)
-
-    async def _wait_for_slot(self, job: Job) -> bool:
-        service = job.service.name
-        # The host that relays has a queue of its own; two waits in a row take
-        # longer than a refusal may.
-        if not job.relay_allowed:
-            return False
-        # More waiting requests than slots cannot all be served in time.
-        if self._queue.length(service) >= self._limits.total(service):
-            return False
-        return await self._queue.wait(service)
-
     # One attempt at an upstream.
 
     async def _send_to(self, job: Job, place: Place) -> Received:
@@ -402,7 +181,7 @@
         self._quarantine.note_connect_end(job.fingerprint, upstream.name)
         sent_at = self._reactor.seconds()
         if isinstance(acquired, Err):
-            self._free(place.slot, upstream)
+            self._places.free(place.slot, upstream)
             job.unreached += 1
             job.tried.add(upstream.name)
             unopened: ErrorKind = acquired.err_value
@@ -414,7 +193,7 @@
         refusal = self._last_check(job, upstream, sent_at)
         if refusal is not None:
             conn.cancel()
-            self._free(place.slot, upstream)
+            self._places.free(place.slot, upstream)
             job.unreached += 1
             return Err(refusal)
         deadline = attempt_deadline(job.deadline, job.service.timeout_s, sent_at)
@@ -527,7 +306,7 @@
             self._quarantine.note_end(job.fingerprint, upstream.name)
         else:
             self._quarantine.note_answer(job.fingerprint, upstream.name, now)
-        self._free(place.slot, upstream)
+        self._places.free(place.slot, upstream)
         if _is_refusal(answer):
             job.life.refuse()
             job.tried.add(upstream.name)
@@ -557,21 +336,12 @@
         for listener in self.broken_listeners:
             listener(upstream)
 
-    def _free(self, slot: Slot, upstream: Upstream) -> None:
-        self._limits.release(slot)
-        self._wake_for(upstream.name, upstream.service)
-
-    def _wake_for(self, upstream: str, service: str) -> None:
-        """Wake a request that waits, unless the upstream takes no new work."""
-        if self._takes_work(upstream):
-            self._queue.wake(service)
-
     def _free_later(self, slot: Slot, upstream: Upstream, wait_s: float) -> None:
         """Free a slot when the upstream has surely stopped working on it."""
         if wait_s <= 0:
-            self._free(slot, upstream)
+            self._places.free(slot, upstream)
         else:
-            self._reactor.callLater(wait_s, self._free, slot, upstream)
+            self._reactor.callLater(wait_s, self._places.free, slot, upstream)
 
     # One attempt through a peer.
 
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -11,17 +11,15 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from samphirebend.dispatch import (
-    MAX_ATTEMPTS,
-    MAX_UNREACHED,
+from samphirebend.dispatch import MAX_ATTEMPTS, MAX_UNREACHED, Dispatcher
+from samphirebend.errorcodes import ErrorKind, Outcome
+from samphirebend.job import Job
+from samphirebend.places import (
     SUSPECT_RECHECK_S,
     SUSPECT_WAIT_S,
-    Dispatcher,
     PeerPlace,
     Place,
 )
-from samphirebend.errorcodes import ErrorKind, Outcome
-from samphirebend.job import Job
 from samphirebend.quarantine import Quarantine, Verdict
 from samphirebend.retries import RetryBudget
 from samphirebend.wire import Suspect
@@ -98,11 +96,11 @@
     dispatcher = make_dispatcher(quarantine=quarantine, router=router)
     job = make_job(relay_allowed=True)
     job.tried.add("north-1")  # its upstream crashed with the request in flight
-    place = dispatcher._find_place(job, waited=False)
+    place = dispatcher._places.find(job, waited=False)
     assert isinstance(place, PeerPlace)
     assert place.host == "north-1"
     Deferred.fromCoroutine(dispatcher._relay_to(job, place))
-    assert dispatcher._find_place(job, waited=False) is ErrorKind.CAP_REACHED
+    assert dispatcher._places.find(job, waited=False) is ErrorKind.CAP_REACHED
 
 
 def test_nothing_is_written_if_the_lease_ends_while_connecting() -> None:
@@ -191,7 +189,7 @@
 def test_waiting_suspect_drains_one_upstream_and_runs_there() -> None:
     """Guards against a suspect that waits in vain while new work arrives."""
     suspect = WaitingSuspect()
-    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
     assert suspect.quarantine.held_for_trial("less-busy")
     assert not suspect.quarantine.held_for_trial("busy")
     suspect.clock.advance(SUSPECT_RECHECK_S)
@@ -205,13 +203,13 @@
 def test_no_queued_request_joins_a_trial_that_is_about_to_begin() -> None:
     """Guards against a request that is woken as a claim ends and is crashed."""
     suspect = WaitingSuspect()
-    places = suspect.dispatcher
-    suspect.start(places._wait_for_trial(suspect.job))
+    places = suspect.dispatcher._places
+    suspect.start(places.wait_for_trial(suspect.job))
     other = make_job(relay_allowed=True)
     other.fingerprint, other.deadline = 2, 100.0
     joined: list[Any] = []
-    queued = Deferred.fromCoroutine(places._wait_for_slot(other))
-    queued.addCallback(lambda _: joined.append(places._find_place(other, waited=True)))
+    queued = Deferred.fromCoroutine(places.wait_for_slot(other))
+    queued.addCallback(lambda _: joined.append(places.find(other, waited=True)))
     suspect.router.own_free.return_value = 0
     suspect.router.peer_for.return_value = None
     suspect.rooms["busy"].in_flight = 4
@@ -226,7 +224,7 @@
 def test_suspect_leaves_an_upstream_whose_slots_outlast_a_crash() -> None:
     """Guards against a suspect that waits for a crashed upstream until it is late."""
     suspect = WaitingSuspect()
-    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
     suspect.quarantine.note_crash("less-busy", 0.0)
     suspect.rooms["less-busy"].limit = 1  # ramped, and in use until the deadline
     suspect.clock.advance(SUSPECT_RECHECK_S)
@@ -240,7 +238,7 @@
 def test_suspect_that_waited_in_vain_holds_no_upstream() -> None:
     """Guards against an upstream that takes no work because of an old suspect."""
     suspect = WaitingSuspect()
-    suspect.start(suspect.dispatcher._wait_for_trial(suspect.job))
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
     suspect.wait_in_vain()
     assert suspect.results == [ErrorKind.CAP_REACHED]
     assert not suspect.quarantine.held_for_trial("less-busy")
@@ -252,7 +250,7 @@
     suspect = WaitingSuspect()
     suspect.start(suspect.dispatcher.run(suspect.job))
     suspect.wait_in_vain()
-    suspect.dispatcher._queue.wake("read")
+    suspect.dispatcher._places._queue.wake("read")
     suspect.clock.advance(SUSPECT_RECHECK_S)
     assert suspect.results == [Err(ErrorKind.CAP_REACHED)]
     assert not suspect.quarantine.held_for_trial("less-busy")
