--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -58,9 +58,11 @@
         "relays",
         "req",
         "request_id",
+        "runners",
         "service",
         "target",
         "tried",
+        "unreached",
     )
 
     def __init__(
@@ -87,8 +89,10 @@
         self.life: RequestLife = make_request_life()
         self.relay_allowed = True
         self.attempts = 0  # at upstreams of this host
+        self.unreached = 0  # of these, the ones that wrote nothing
         self.relays = 0  # to peers
         self.tried: set[str] = set()  # upstreams and hosts that failed
+        self.runners: set[str] = set()  # hosts asked to run it as a suspect
 
     @property
     def replayable(self) -> bool:
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import Any, Final
+from typing import Any
 from unittest.mock import Mock
 
 import pytest
@@ -11,52 +11,101 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from samphirebend.dispatch import Dispatcher, PeerPlace
+from samphirebend.dispatch import MAX_ATTEMPTS, MAX_UNREACHED, Dispatcher
 from samphirebend.errorcodes import ErrorKind, Outcome
 from samphirebend.job import Job
-from samphirebend.quarantine import Verdict
+from samphirebend.places import (
+    SUSPECT_RECHECK_S,
+    SUSPECT_WAIT_S,
+    PeerPlace,
+    Place,
+)
+from samphirebend.quarantine import Quarantine, Verdict
 from samphirebend.retries import RetryBudget
+from samphirebend.wire import Suspect
+
+PEER = PeerPlace("north-1")
+OWN = Place(Mock(), Mock(), alone=False)
 
-PARTS: Final = (
-    "limits",
-    "keeper",
-    "states",
-    "peers",
-    "quarantine",
-    "pool",
-    "relay",
-    "router",
-)
 
+def make_dispatcher(**parts: Any) -> Dispatcher:
+    """Return a dispatcher that has only the given parts."""
+    names = ["limits", "keeper", "states", "peers", "quarantine", "pool"]
+    given: Any = dict.fromkeys([*names, "relay", "router", "metrics"])
+    given["reactor"] = Clock()
+    return Dispatcher("north-0", **{**given, **parts}, queue_wait_s=0.03)
 
-def make_dispatcher(parts: dict[str, Any]) -> Dispatcher:
-    return Dispatcher("entry-1", Clock(), **parts, metrics=Mock(), queue_wait_s=0.03)
+
+def make_job(relay_allowed: bool) -> Job:
+    """Return an idempotent request that may be sent again."""
+    req: Any = SimpleNamespace(method="GET", headers=[], answered=False)
+    job = Job(req, Any, "/", "id", 1.0)  # type: ignore[arg-type]
+    job.service = SimpleNamespace(name="read", idempotent=True)  # type: ignore[assignment]
+    job.body = b""
+    job.relay_allowed = relay_allowed
+    return job
 
 
 @pytest.mark.parametrize(
-    ("kind", "relay_allowed", "goes_on"),
+    ("kind", "place", "relay_allowed", "goes_on"),
     [
-        (ErrorKind.CAP_REACHED, True, True),
-        (ErrorKind.UPSTREAM_REFUSED, True, False),
-        (ErrorKind.CAP_REACHED, False, False),
+        (ErrorKind.CAP_REACHED, PEER, True, True),
+        (ErrorKind.UPSTREAM_REFUSED, PEER, True, False),
+        (ErrorKind.CAP_REACHED, PEER, False, False),
+        (ErrorKind.CONNECT_FAILED, OWN, True, True),
+        # A peer tries its other upstreams, as no other host may run a suspect.
+        (ErrorKind.CONNECT_FAILED, OWN, False, True),
+        (ErrorKind.UPSTREAM_REFUSED, OWN, True, False),
+        (ErrorKind.UPSTREAM_REFUSED, OWN, False, False),
+        (ErrorKind.UPSTREAM_BROKEN, OWN, True, False),
+        (ErrorKind.UPSTREAM_BROKEN, OWN, False, False),
     ],
 )
-def test_only_refusals_of_peers_are_retried_without_budget(
-    kind: ErrorKind, relay_allowed: bool, goes_on: bool
+def test_only_what_reached_no_upstream_is_retried_without_budget(
+    kind: ErrorKind, place: Place | PeerPlace, relay_allowed: bool, goes_on: bool
 ) -> None:
     """Guards against attempts at upstreams that no budget counts."""
-    dispatcher = make_dispatcher(dict.fromkeys(PARTS))
-    req: Any = SimpleNamespace(method="GET", headers=[], answered=False)
-    job = Job(req, Any, "/", "id", 1.0)  # type: ignore[arg-type]
-    job.service = SimpleNamespace(name="read", idempotent=True)  # type: ignore[assignment]
-    job.body = b""
-    job.relay_allowed = relay_allowed
-    place, empty = PeerPlace("north-1"), RetryBudget()
-    assert dispatcher._may_go_on(job, Err(kind), place, empty) is goes_on
+    job, empty = make_job(relay_allowed), RetryBudget()
+    assert make_dispatcher()._may_go_on(job, Err(kind), place, empty) is goes_on
+
+
+@pytest.mark.parametrize(
+    ("attempts", "unreached", "goes_on"),
+    [
+        (MAX_ATTEMPTS - 1, 0, True),
+        (MAX_ATTEMPTS, 0, False),
+        (MAX_ATTEMPTS, 1, True),
+        (MAX_UNREACHED, MAX_UNREACHED, False),
+    ],
+)
+def test_attempts_are_bounded_also_without_a_connection(
+    attempts: int, unreached: int, goes_on: bool
+) -> None:
+    """Guards against a loop over upstreams that accept no connection."""
+    job, empty = make_job(relay_allowed=True), RetryBudget()
+    job.attempts, job.unreached = attempts, unreached
+    last: Any = Err(ErrorKind.CONNECT_FAILED)
+    assert make_dispatcher()._may_go_on(job, last, OWN, empty) is goes_on
+
+
+def test_runner_of_a_suspect_is_asked_once_though_it_was_tried() -> None:
+    """Guards against a victim of a crash that no host may run any more."""
+    quarantine, router = Mock(), Mock()
+    quarantine.verdict.return_value = Verdict.ALONE
+    router.runner_of_suspect.return_value = "north-1"
+    dispatcher = make_dispatcher(quarantine=quarantine, router=router)
+    job = make_job(relay_allowed=True)
+    job.tried.add("north-1")  # its upstream crashed with the request in flight
+    place = dispatcher._places.find(job, waited=False)
+    assert isinstance(place, PeerPlace)
+    assert place.host == "north-1"
+    Deferred.fromCoroutine(dispatcher._relay_to(job, place))
+    assert dispatcher._places.find(job, waited=False) is ErrorKind.CAP_REACHED
 
 
 def test_nothing_is_written_if_the_lease_ends_while_connecting() -> None:
-    parts: dict[str, Any] = {name: Mock() for name in PARTS}
+    names = ("limits", "keeper", "states", "peers", "quarantine", "pool")
+    parts: dict[str, Any] = {name: Mock() for name in (*names, "relay", "router")}
     limits, keeper, pool = parts["limits"], parts["keeper"], parts["pool"]
     upstream, room = Mock(), Mock(upstream="upstream-1", limit=1)
     upstream.name = room.upstream
@@ -70,7 +119,9 @@
     parts["router"].upstream_for.return_value = upstream.name
     connected: Deferred[Any] = Deferred()
     pool.acquire.return_value = connected
-    dispatcher = make_dispatcher(parts)
+    dispatcher = Dispatcher(
+        "entry-1", Clock(), **parts, metrics=Mock(), queue_wait_s=0.03
+    )
     dispatcher.apply(Mock(upstreams={upstream.name: upstream}), {})
     service = Mock(idempotent=False, timeout_s=2.0)
     job = Job(Mock(headers=[], answered=False), service, "/", "id", 2.0)
@@ -86,3 +137,120 @@
     assert results == [Err(ErrorKind.LEASE_LAPSED)]
     assert job.life.outcome() is Outcome.DID_NOT_RUN
     limits.release.assert_called_once_with("slot")
+
+
+class WaitingSuspect:
+    """A suspect at its runner, whose two upstreams have requests in flight."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.quarantine = Quarantine()
+        self.quarantine.merge([Suspect(1, 1)], 0.0)
+        rooms = {"busy": Mock(in_flight=3), "less-busy": Mock(in_flight=1)}
+        self.rooms = rooms
+        for name, room in rooms.items():
+            room.upstream, room.limit = name, 4
+            self.quarantine.note_dispatch(9, name, 0.0)
+        limits, keeper, states, router = Mock(), Mock(), Mock(), Mock()
+        limits.rooms.return_value = list(rooms.values())
+        limits.reserve.return_value = Ok("slot")
+        keeper.may_dispatch.return_value = True
+        states.limit.side_effect = lambda name, slots, now: slots
+        router.runner_of_suspect.return_value = "north-0"
+        router.upstream_for.side_effect = lambda usable, now: next(
+            (room.upstream for room in usable if room.in_flight < room.limit), None
+        )
+        limits.total.return_value = 8
+        self.dispatcher = make_dispatcher(
+            reactor=self.clock,
+            limits=limits,
+            keeper=keeper,
+            states=states,
+            router=router,
+            quarantine=self.quarantine,
+        )
+        self.dispatcher.apply(Mock(upstreams={name: name for name in rooms}), {})
+        self.job = make_job(relay_allowed=True)
+        self.job.fingerprint, self.job.deadline = 1, 100.0
+        self.job.req.closed = False
+        self.router = router
+        self.results: list[Any] = []
+
+    def start(self, work: Any) -> None:
+        """Start a coroutine of the dispatcher and keep its result."""
+        Deferred.fromCoroutine(work).addBoth(self.results.append)
+
+    def wait_in_vain(self) -> None:
+        """Let the longest wait pass."""
+        self.clock.pump([SUSPECT_RECHECK_S] * int(SUSPECT_WAIT_S / SUSPECT_RECHECK_S))
+        self.clock.advance(SUSPECT_RECHECK_S)
+
+
+def test_waiting_suspect_drains_one_upstream_and_runs_there() -> None:
+    """Guards against a suspect that waits in vain while new work arrives."""
+    suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
+    assert suspect.quarantine.held_for_trial("less-busy")
+    assert not suspect.quarantine.held_for_trial("busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert not suspect.results, "something is still in flight there"
+    suspect.quarantine.note_end(9, "less-busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "less-busy"
+    assert not suspect.quarantine.claimed("less-busy")
+
+
+def test_no_queued_request_joins_a_trial_that_is_about_to_begin() -> None:
+    """Guards against a request that is woken as a claim ends and is crashed."""
+    suspect = WaitingSuspect()
+    places = suspect.dispatcher._places
+    suspect.start(places.wait_for_trial(suspect.job))
+    other = make_job(relay_allowed=True)
+    other.fingerprint, other.deadline = 2, 100.0
+    joined: list[Any] = []
+    queued = Deferred.fromCoroutine(places.wait_for_slot(other))
+    queued.addCallback(lambda _: joined.append(places.find(other, waited=True)))
+    suspect.router.own_free.return_value = 0
+    suspect.router.peer_for.return_value = None
+    suspect.rooms["busy"].in_flight = 4
+    suspect.quarantine.note_end(9, "less-busy")
+    suspect.rooms["less-busy"].in_flight = 0
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "less-busy"
+    suspect.clock.advance(1.0)
+    assert joined == [ErrorKind.CAP_REACHED]
+
+
+def test_suspect_leaves_an_upstream_whose_slots_outlast_a_crash() -> None:
+    """Guards against a suspect that waits for a crashed upstream until it is late."""
+    suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
+    suspect.quarantine.note_crash("less-busy", 0.0)
+    suspect.rooms["less-busy"].limit = 1  # ramped, and in use until the deadline
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert not suspect.quarantine.held_for_trial("less-busy")
+    assert suspect.quarantine.held_for_trial("busy")
+    suspect.quarantine.note_end(9, "busy")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results[0].upstream == "busy"
+
+
+def test_suspect_that_waited_in_vain_holds_no_upstream() -> None:
+    """Guards against an upstream that takes no work because of an old suspect."""
+    suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher._places.wait_for_trial(suspect.job))
+    suspect.wait_in_vain()
+    assert suspect.results == [ErrorKind.CAP_REACHED]
+    assert not suspect.quarantine.held_for_trial("less-busy")
+    assert not suspect.quarantine.held_for_trial("busy")
+
+
+def test_suspect_waits_once() -> None:
+    """Guards against a second wait, which would hold an upstream twice as long."""
+    suspect = WaitingSuspect()
+    suspect.start(suspect.dispatcher.run(suspect.job))
+    suspect.wait_in_vain()
+    suspect.dispatcher._places._queue.wake("read")
+    suspect.clock.advance(SUSPECT_RECHECK_S)
+    assert suspect.results == [Err(ErrorKind.CAP_REACHED)]
+    assert not suspect.quarantine.held_for_trial("less-busy")
