Keep the objects of the start out of garbage collections

Cause: a full collection passes over about 75,000 objects of modules and types and blocks the event loop. Ruled out: log writing (nothing is logged on the path), applying the manifest (23 ms for a commit, no block at that time), heartbeats and lease ticks (no lag above 14 ms is left without the full collections), and reference cycles of requests (gc.DEBUG_SAVEALL: none in 1 s of load).

Change: collect and freeze once before the loop runs; let 10,000 new objects start a collection instead of 700, since requests leave no cycles.

--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import secrets
 import signal
@@ -52,6 +53,8 @@
 
 EXIT_BAD_SETTINGS: Final = 2
 HELD_CHECK_S: Final = 0.5
+# Growth in objects before the garbage collector looks at the youngest of them.
+COLLECT_AFTER_OBJECTS: Final = 10_000
 
 
 class Server:
@@ -330,6 +333,18 @@
     return Daemon(cfg, reactor)
 
 
+def limit_collections() -> None:
+    """Keep the objects of the start out of the garbage collector's passes.
+
+    A full pass over them blocked the event loop for 36 to 59 ms. Requests leave
+    no reference cycles behind, but those in flight together hold more than the
+    default of 700 objects, which started a pass every 25 requests.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_OBJECTS, 10, 10)
+
+
 def run_daemon(cfg: Options) -> int:
     """Run a daemon until it is told to stop; return the exit status."""
     from twisted.internet import reactor as installed_reactor
@@ -359,6 +374,7 @@
         signal.signal(signal.SIGINT, stop)
         Deferred.fromCoroutine(daemon.run()).addErrback(fail)
 
+    limit_collections()
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
     return status[0]
--- /dev/null
+++ b/tests/unit/test_daemon.py
@@ -0,0 +1,19 @@
+"""Guards the set-up of the daemon's process."""
+
+from __future__ import annotations
+
+import gc
+
+from samphirebend.daemon import COLLECT_AFTER_OBJECTS, limit_collections
+
+
+def test_collections_skip_the_objects_of_the_start() -> None:
+    """Guards against full passes over all modules, which block the event loop."""
+    thresholds = gc.get_threshold()
+    try:
+        limit_collections()
+        assert len(gc.get_objects()) < gc.get_freeze_count() / 10
+        assert gc.get_threshold()[0] == COLLECT_AFTER_OBJECTS
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(*thresholds)
