Keep a service's usable upstreams until a limit changes

Change: keep the upstreams with region and limit by service until a version is applied or activated, the shards held change or a takeover is noted; keep nothing while a wait after a takeover runs. A property test compares with limits that are asked for the first time; it fails without any one of the four places that forget what is kept.

--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -141,6 +141,7 @@
         "_drained",
         "_held",
         "_in_flight",
+        "_open_upstreams",
         "_pending",
         "_region_in_flight",
         "_waits",
@@ -155,12 +156,15 @@
         self._connections: dict[str, int] = {}  # by upstream
         self._drained = 0
         self._waits = _Waits()
+        # By service: upstreams that can be used, with region and limit.
+        self._open_upstreams: dict[str, list[tuple[str, str, int]]] = {}
 
     def apply(self, version: int, manifest: Manifest, now: float) -> None:
         """Apply a newer version: its reductions now, the rest after `activate`."""
         self._waits.now = max(self._waits.now, now)
         if version > self._newest_version():
             self._pending.append(_Plan(version, manifest))
+            self._open_upstreams.clear()
             self._update_drained()
 
     def activate(self, version: int) -> None:
@@ -169,6 +173,7 @@
             if plan.version == version:
                 self._active = plan
                 del self._pending[: index + 1]
+                self._open_upstreams.clear()
                 return
 
     def active_version(self) -> int:
@@ -178,13 +183,16 @@
     def set_held(self, shards: frozenset[str], now: float) -> None:
         """Replace the set of shards that are usable now."""
         self._waits.now = max(self._waits.now, now)
-        self._held = shards
+        if shards != self._held:
+            self._held = shards
+            self._open_upstreams.clear()
         self._end_waits()
         self._update_drained()
 
     def note_takeover(self, shard: str, now: float) -> None:
         """Delay dispatches to a shard: the former holder's may still be running."""
         self._waits.taken_at[shard] = now
+        self._open_upstreams.clear()
 
     def reserve(self, upstream: str, now: float) -> Result[Slot, ErrorKind]:
         """Take a slot, or return the limit that is reached."""
@@ -245,28 +253,47 @@
 
     def rooms(self, service: str) -> list[Room]:
         """Return the usable upstreams of a service with their limits."""
-        if self._active is None:
-            return []
-        rooms = []
-        for upstream in self._plans()[-1].near(service, self._held):
-            limit = self._limit(upstream.name)
-            if limit and self._usable(upstream):
-                in_flight = self._in_flight.get(upstream.name, 0)
-                rooms.append(Room(upstream.name, in_flight, limit))
-        return rooms
+        in_flight = self._in_flight
+        return [
+            Room(name, in_flight.get(name, 0), limit)
+            for name, _, limit in self._open(service)
+        ]
 
     def free(self, service: str) -> int:
         """Return the slots of a service that can be reserved now."""
         free: dict[str, int] = {}
-        for room in self.rooms(service):
-            region = self._plans()[-1].manifest.upstreams[room.upstream].region
-            unused = max(0, room.limit - room.in_flight)
+        for name, region, limit in self._open(service):
+            unused = max(0, limit - self._in_flight.get(name, 0))
             free[region] = free.get(region, 0) + unused
         return sum(min(n, self._region_free(region)) for region, n in free.items())
 
     def total(self, service: str) -> int:
         """Return the slots of a service at the usable upstreams."""
-        return sum(room.limit for room in self.rooms(service))
+        return sum(limit for _, _, limit in self._open(service))
+
+    def _open(self, service: str) -> list[tuple[str, str, int]]:
+        """Return the usable upstreams of a service, each with region and limit.
+
+        Kept until a version or the shards held change, because each request asks
+        several times. Waits after a takeover end with time, so that nothing is
+        kept meanwhile.
+        """
+        found = self._open_upstreams.get(service)
+        if found is None:
+            found = self._find_open(service)
+            if not self._waits.taken_at:
+                self._open_upstreams[service] = found
+        return found
+
+    def _find_open(self, service: str) -> list[tuple[str, str, int]]:
+        if self._active is None:
+            return []
+        found = []
+        for upstream in self._plans()[-1].near(service, self._held):
+            limit = self._limit(upstream.name)
+            if limit and self._usable(upstream):
+                found.append((upstream.name, upstream.region, limit))
+        return found
 
     def shard_in_flight(self, shard: str) -> int:
         """Return the requests in flight at a shard's upstreams."""
--- a/tests/unit/test_limits.py
+++ b/tests/unit/test_limits.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from functools import partial
 
 from hypothesis import given, strategies as st
 from result import Err, Ok
 
 from samphirebend.errorcodes import ErrorKind
 from samphirebend.limits import Limits, Slot
+from samphirebend.room import Room
 from samphirebend.shards import assign
 
 from .small_manifest import make_manifest
@@ -101,3 +104,43 @@
         used = [slot.upstream for taken in open_slots.values() for slot in taken]
         assert len(used) <= cap
         assert all(used.count(upstream) <= slots for upstream in set(used))
+
+
+@given(st.integers(0, 2**32))
+def test_rooms_follow_every_change(seed: int) -> None:
+    """Guards against rooms kept from before a change of versions, shards or waits.
+
+    The same changes are made to limits that are asked for the first time.
+    """
+    rng = random.Random(seed)
+    names = sorted(ALL)
+    hosts = [names, names[1:], names[:2]]
+    manifests = [make_manifest({"north": each}, slots=3) for each in hosts]
+    asked, now = Limits(), 0.0
+    changes: list[Callable[[Limits], object]] = []
+    for _ in range(20):
+        now += rng.choice([0.1, 0.6])
+        version = rng.randrange(3)
+        held = ALL if rng.random() < 0.5 else frozenset(rng.sample(names, 2))
+        change = rng.choice(
+            [
+                partial(Limits.apply, version=version + 1, now=now),
+                partial(Limits.activate, version=version + 1),
+                partial(Limits.set_held, shards=held, now=now),
+                partial(Limits.note_takeover, shard=rng.choice(names), now=now),
+            ]
+        )
+        if change.func is Limits.apply:
+            change = partial(change, manifest=manifests[version])
+        changes.append(change)
+        change(asked)
+        fresh = Limits()
+        for each in changes:
+            each(fresh)
+        for service in ("read", "write"):
+            assert shown(asked.rooms(service)) == shown(fresh.rooms(service))
+            assert asked.free(service) == fresh.free(service)
+
+
+def shown(rooms: list[Room]) -> list[tuple[str, int, int]]:
+    return [(room.upstream, room.in_flight, room.limit) for room in rooms]
