--- a/samphirebend/places.py
+++ b/samphirebend/places.py
@@ -178,7 +178,8 @@
         rooms = self._limits.rooms(job.service.name)
         if not rooms:
             return ErrorKind.LEASE_LAPSED
-        open_rooms = [room for room in rooms if self._is_open(job, room, now)]
+        leases: dict[str, bool] = {}  # shard to whether its lease is valid
+        open_rooms = [room for room in rooms if self._is_open(job, room, leases, now)]
         if not open_rooms:
             return ErrorKind.NO_UPSTREAM
         joinable = self._quarantine.idle if alone else self._takes_work
@@ -199,14 +200,18 @@
     def _takes_work(self, upstream: str) -> bool:
         return not self._quarantine.held_for_trial(upstream)
 
-    def _is_open(self, job: Job, room: Room, now: float) -> bool:
+    def _is_open(
+        self, job: Job, room: Room, leases: dict[str, bool], now: float
+    ) -> bool:
         """Tell whether the job may go to an upstream, however busy that is."""
         name = room.upstream
         if name in job.tried:
             return False
         room.limit = self._states.limit(name, room.limit, now)
         shard = self.shards.get(name, "")
-        return room.limit > 0 and self._keeper.may_dispatch(shard, now)
+        if shard not in leases:
+            leases[shard] = self._keeper.may_dispatch(shard, now)
+        return room.limit > 0 and leases[shard]
 
     def runs_trial(self, job: Job) -> bool:
         """Tell whether this host is to run the job alone on an upstream."""
@@ -248,7 +253,7 @@
             rooms = [
                 room
                 for room in self._limits.rooms(job.service.name)
-                if self._is_open(job, room, now) and self._drains(room)
+                if self._is_open(job, room, {}, now) and self._drains(room)
             ]
         if claimed is not None:
             if any(room.upstream == claimed for room in rooms):
