Model the reservation for own callers in the routing bench

Cause: the bench runs the product's routing rules on modelled hosts, but not the reservation that decides what requests of another region get.

Change: each modelled host keeps a Reservation, tells the slots that other regions may use with heartbeats and answers, and refuses beyond them.

Conclusion: the bench's hosts follow the same rules as the daemons.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -26,6 +26,7 @@
 from samphirebend.addresses import Address
 from samphirebend.blocks import empty_table
 from samphirebend.manifest import Manifest, Region, Service, Upstream
+from samphirebend.reservation import Reservation
 from samphirebend.retries import RetryBudget
 from samphirebend.room import Room
 from samphirebend.routing import (
@@ -98,6 +99,7 @@
         self.states = UpstreamStates(f"r{region}")
         self.states.apply(manifest, 0.0)
         self.budget, self.log = RetryBudget(), RelayLog()
+        self.reservation = Reservation()
         self.backends: dict[str, list[Backend]] = {}  # by service
 
 
@@ -158,6 +160,8 @@
         self.link_bytes: dict[tuple[int, int, int], float] = {}
         self.site_use: dict[tuple[int, int], float] = {}  # site and second
         self.told: list[dict[str, int]] = [{}]  # in use at heartbeats, by upstream
+        # Slots for requests of other regions, by host and service.
+        self.told_overflow: list[dict[tuple[str, str], int]] = [{}]
         self.told_free: list[dict[str, int]] = [{}]  # usable slots
         self.told_at = [0.0]
         self.latencies: list[float] = []
@@ -198,6 +202,13 @@
             load = {b.upstream.name: 0 if b.bad else b.in_flight for b in every}
             free = {b.upstream.name: self.usable(b) for b in every}
             self.told_free.append(free)
+            self.told_overflow.append(
+                {
+                    (host.name, name): self.overflow_free(host, name)
+                    for host in self.hosts
+                    for name in self.load.services
+                }
+            )
             self.told.append(load)
             self.told_at.append(self.now)
             for b in every:
@@ -231,6 +242,11 @@
         name, slots = backend.upstream.name, backend.upstream.slots
         return max(0, owner.states.limit(name, slots, self.now) - backend.in_flight)
 
+    def overflow_free(self, host: Host, service: str) -> int:
+        """Return the slots of a host that other regions' requests may use."""
+        free = sum(self.usable(b) for b in host.backends.get(service, []))
+        return host.reservation.left(service, free, self.now)
+
     def last_told(self, delay_s: float) -> int:
         return max(0, bisect_right(self.told_at, self.now - delay_s) - 1)
 
@@ -288,11 +304,16 @@
             away = other.region != host.region
             delay_s = self.load.delay_s if away else 0.001
             key = (host.region, other.region)
+            free, total = self.free_at(other, service, delay_s)
+            if away:
+                told = self.told_overflow[self.last_told(delay_s)]
+                free = told.get((other.name, service), free)
             options.append(
                 PeerOption(
                     other.name,
                     f"r{other.region}",
-                    *self.free_at(other, service, delay_s),
+                    free,
+                    total,
                     *self.free_at(other, "", delay_s),
                     self.told_at[self.last_told(delay_s)] + delay_s,
                     delay_s,
@@ -300,11 +321,11 @@
                 )
             )
         _, _, seconds, up, _ = self.load.services[service]
-        free = {
+        own_free = {
             name: sum(self.usable(b) for b in part)
             for name, part in host.backends.items()
         }
-        own, total = free.get(service, 0), self.free_at(host, "", 0.0)[1]
+        own, total = own_free.get(service, 0), self.free_at(host, "", 0.0)[1]
         relay = RelayRequest(
             service,
             up,
@@ -312,7 +333,7 @@
             f"r{host.region}",
             own,
             self.free_at(host, service, 0.0)[1],
-            sum(free.values()),
+            sum(own_free.values()),
             total,
             seconds,
         )
@@ -347,19 +368,25 @@
         if self.lost(at.region):
             self.at(self.now + 0.2, lambda: self.end(request, "refused"))
             return
+        overflow = request.host.region != at.region
         if self.policy == "samphirebend":
             rooms = [Room(b.upstream.name, b.in_flight, b.upstream.slots) for b in part]
             name = choose_upstream(
                 rooms, at.states, self.load.measure, self.now, self.rng
             )
             backend = next((b for b in part if b.upstream.name == name), None)
+            if overflow and not self.overflow_free(at, request.service):
+                backend = None
         if backend is None or backend.in_flight >= backend.upstream.slots:
             request.host.log.note_refused(at.name, request.service, self.now)
+            self.tell(request, at)
             self.end(request, "refused")
             return
         chosen, sent_at = backend, self.now
         at.states.note_dispatch(chosen.upstream.name, sent_at)
         chosen.in_flight += 1
+        if not overflow:
+            at.reservation.note_begin(request.service, sent_at)
         crowded = 1.0 + 0.4 * chosen.in_flight / chosen.upstream.slots
         seconds = self.load.services[request.service][2]
         failed = chosen.bad and request.fail_draw < 0.9
@@ -374,6 +401,9 @@
         self, request: Request, chosen: Backend, at: Host, failed: bool, sent_at: float
     ) -> None:
         chosen.in_flight -= 1
+        if request.host.region == at.region:
+            at.reservation.note_end(request.service, self.now)
+        self.tell(request, at)
         failed = failed or self.lost(chosen.region)
         outcome = DispatchOutcome.FAILED if failed else DispatchOutcome.ANSWERED
         at.states.note_outcome(chosen.upstream.name, outcome, sent_at, self.now)
@@ -387,6 +417,22 @@
         if request.service != "upload":
             self.latencies.append(self.now + back_s - request.at)
 
+    def tell(self, request: Request, at: Host) -> None:
+        """Tell the host of a request the slots at the host that answers it."""
+        if request.host is at:
+            return
+        away = request.host.region != at.region
+        free = (
+            self.overflow_free(at, request.service)
+            if away
+            else sum(self.usable(b) for b in at.backends.get(request.service, []))
+        )
+        delay_s = self.load.delay_s if away else 0.001
+        heard_at, log = self.now + delay_s, request.host.log
+        self.at(
+            heard_at, lambda: log.note_told(at.name, request.service, free, heard_at)
+        )
+
     def end(self, request: Request, how: str) -> None:
         self.refused += how == "refused"
         again = how == "refused" or request.service != "ledger"
