Move the record of one upstream into a module of its own

Ruled out: moving the ejection rules as well; they bound the ejected upstreams of a service together.

Change: upstreamrecord.py has the states, reports and the record. No change of behaviour.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -38,7 +38,8 @@
     choose_upstream,
     rank_hosts,
 )
-from samphirebend.upstreamstate import DispatchOutcome, Report, UpstreamStates
+from samphirebend.upstreamrecord import DispatchOutcome, Report
+from samphirebend.upstreamstate import UpstreamStates
 
 SEEDS: Final = (1, 2, 3)  # the figures are means over them
 LOAD: Final = 0.45  # of all slots, before crowding
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -37,7 +37,8 @@
 from .relay import RelayClient, RelayMode
 from .retries import RetryBudget, attempt_deadline, may_retry, reached_upstream
 from .router import Router
-from .upstreamstate import DispatchOutcome, UpstreamStates
+from .upstreamrecord import DispatchOutcome
+from .upstreamstate import UpstreamStates
 
 MAX_ATTEMPTS: Final = 3
 # Attempts that wrote nothing are counted apart: a crashed upstream refuses
--- a/samphirebend/health.py
+++ b/samphirebend/health.py
@@ -22,7 +22,8 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 
 from .manifest import Upstream
-from .upstreamstate import Listed, Report, UpstreamStates
+from .upstreamrecord import Listed, Report
+from .upstreamstate import UpstreamStates
 
 POLL_INTERVAL_S: Final = 1.0
 # Shorter than the interval, so that polls of one upstream never overlap.
--- a/samphirebend/upstreamstate.py
+++ b/samphirebend/upstreamstate.py
@@ -23,13 +23,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
-from enum import Enum, unique
-from typing import Final, Protocol
-
-from automat import TypeMachineBuilder
+from collections.abc import Iterable
+from typing import Final
 
 from .manifest import Manifest
+from .upstreamrecord import DispatchOutcome, LifeState, Listed, Report, UpstreamRecord
 
 COLD_RAMP_S: Final = 10.0
 REPORT_MAX_AGE_S: Final = 5.0
@@ -42,201 +40,10 @@
 FIRST_PAUSE_S: Final = 2.0
 MAX_PAUSE_S: Final = 60.0
 PAUSE_FORGET_S: Final = 120.0  # time up after which the pause starts anew
-OUTCOME_DECAY_S: Final = 10.0
 LATENCY_WEIGHT: Final = 0.1  # of the newest sample in the moving average
 MAX_PAST_INSTANCES: Final = 8
 
 
-@unique
-class LifeState(Enum):
-    """State of an upstream as this host knows it."""
-
-    COLD = "cold"
-    UP = "up"
-    EJECTED = "ejected"
-    LEAVING = "leaving"
-    GONE = "gone"
-
-
-@unique
-class Listed(Enum):
-    """What the platform's list says of an upstream."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-    ABSENT = "absent"
-
-
-@unique
-class DispatchOutcome(Enum):
-    """How one dispatch to an upstream ended, as far as the upstream caused it."""
-
-    ANSWERED = "answered"
-    FAILED = "failed"  # broken, truncated, late, wrong or no connection
-    REFUSED = "refused"  # explicitly not run
-    CANCELLED = "cancelled"  # ended by the caller; says nothing
-
-
-class Report:
-    """One answer of an upstream's health endpoint."""
-
-    __slots__ = ("draining", "failing", "in_use", "instance")
-
-    def __init__(
-        self, instance: str, failing: bool, draining: bool, in_use: int | None
-    ) -> None:
-        self.instance = instance  # empty: not given
-        self.failing = failing  # status "fail"
-        self.draining = draining
-        self.in_use = in_use  # slots, None: unknown
-
-
-class _Inputs(Protocol):
-    def warmed(self) -> None: ...
-    def ejected(self) -> None: ...
-    def recovered(self) -> None: ...
-    def left(self) -> None: ...
-    def vanished(self) -> None: ...
-    def renewed(self) -> None: ...
-    def state(self) -> LifeState: ...
-
-
-class _Core:
-    """Data of the machine; the transitions need none."""
-
-    __slots__ = ()
-
-
-def _build_machine() -> Callable[[_Core], _Inputs]:
-    builder = TypeMachineBuilder(_Inputs, _Core)
-    up = builder.state("up")  # the initial state
-    cold = builder.state("cold")
-    ejected = builder.state("ejected")
-    leaving = builder.state("leaving")
-    gone = builder.state("gone")
-    for source, event, target in (
-        (up, _Inputs.ejected, ejected),
-        (cold, _Inputs.ejected, ejected),
-        (cold, _Inputs.warmed, up),
-        (ejected, _Inputs.recovered, up),
-        (up, _Inputs.left, leaving),
-        (cold, _Inputs.left, leaving),
-        (ejected, _Inputs.left, leaving),
-        (leaving, _Inputs.left, leaving),
-        (gone, _Inputs.left, gone),
-    ):
-        source.upon(event).to(target).returns(None)
-    for state, value in (
-        (up, LifeState.UP),
-        (cold, LifeState.COLD),
-        (ejected, LifeState.EJECTED),
-        (leaving, LifeState.LEAVING),
-        (gone, LifeState.GONE),
-    ):
-        state.upon(_Inputs.vanished).to(gone).returns(None)
-        state.upon(_Inputs.renewed).to(cold).returns(None)
-        state.upon(_Inputs.state).loop().returns(value)
-    return builder.build()
-
-
-_make_machine: Final = _build_machine()
-
-
-class _Record:
-    """All that is known of one upstream."""
-
-    __slots__ = (
-        "address",
-        "cold_since",
-        "consecutive",
-        "ejected_at",
-        "failures",
-        "first_hand",
-        "instance",
-        "latency_at",
-        "latency_s",
-        "listed",
-        "listed_away_at",
-        "machine",
-        "outcomes_at",
-        "past_instances",
-        "pause_s",
-        "recovered_at",
-        "renewed_at",
-        "report",
-        "report_sent_at",
-        "service",
-        "slots",
-        "state",
-        "successes",
-        "told_by",
-        "trial_sent_at",
-        "unconfirmed_since",
-    )
-
-    def __init__(self, service: str, address: str, slots: int) -> None:
-        self.service = service
-        self.address = address
-        self.slots = slots
-        self.machine = _make_machine(_Core())
-        self.state = LifeState.UP  # of the machine, kept for fast reads
-        self.cold_since = -math.inf
-        self.renewed_at = -math.inf  # last new instance or return in the list
-        self.instance = ""
-        self.past_instances: list[str] = []
-        self.listed: Listed | None = None
-        self.listed_away_at = -math.inf  # when the list showed it leaving or absent
-        self.first_hand = False  # leaving by this host's own observation
-        self.told_by: set[str] = set()  # peers by which it is leaving
-        self.report: Report | None = None
-        self.report_sent_at = -math.inf
-        self.consecutive = 0  # failures and refusals since the last answer
-        self.successes = 0.0  # decayed counts at outcomes_at
-        self.failures = 0.0
-        self.outcomes_at = -math.inf
-        self.latency_s = 0.0
-        self.latency_at = -math.inf  # never: -inf
-        self.ejected_at = -math.inf
-        self.pause_s = 0.0
-        self.recovered_at = -math.inf
-        self.trial_sent_at: float | None = None
-        # Last broken or failed connection, None once a report confirmed the instance.
-        self.unconfirmed_since: float | None = None
-
-    def send(self, event: str) -> None:
-        """Feed one input to the machine."""
-        getattr(self.machine, event)()
-        self.state = self.machine.state()
-
-    def decay(self, now: float) -> None:
-        """Age the counts of outcomes to the given time."""
-        age_s = now - self.outcomes_at
-        if age_s > 0:
-            factor = math.exp(-age_s / OUTCOME_DECAY_S)
-            self.successes *= factor
-            self.failures *= factor
-            self.outcomes_at = now
-
-    def renew(self, now: float) -> None:
-        """Start anew as cold and drop what was measured of the old instance."""
-        self.send("renewed")
-        self.cold_since = self.renewed_at = now
-        self.first_hand = False
-        self.told_by.clear()
-        self.consecutive = 0
-        self.successes = self.failures = 0.0
-        self.latency_at = -math.inf
-        self.pause_s = 0.0
-        self.trial_sent_at = None
-        self.unconfirmed_since = None
-
-    def ramp_since(self) -> float | None:
-        """Return the start of the ramp that bounds new work, None if none does."""
-        if self.state is not LifeState.COLD:
-            return self.unconfirmed_since
-        return max(self.cold_since, self.unconfirmed_since or -math.inf)
-
-
 class UpstreamStates:
     """States and measurements of the upstreams of one region."""
 
@@ -244,7 +51,7 @@
 
     def __init__(self, region: str) -> None:
         self._region = region
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, UpstreamRecord] = {}
         self._owned: dict[str, list[str]] = {}  # service to upstreams in use here
         # Incarnation of each peer and the upstreams that it names as leaving.
         self._peer_news: dict[str, tuple[int, frozenset[str]]] = {}
@@ -252,14 +59,14 @@
 
     def apply(self, manifest: Manifest, now: float) -> None:
         """Follow the manifest in force; an upstream added later starts cold."""
-        records: dict[str, _Record] = {}
+        records: dict[str, UpstreamRecord] = {}
         for upstream in manifest.upstreams.values():
             if upstream.region != self._region:
                 continue
             record = self._records.get(upstream.name)
             address = str(upstream.address)
             if record is None or record.address != address:
-                record = _Record(upstream.service, address, upstream.slots)
+                record = UpstreamRecord(upstream.service, address, upstream.slots)
                 if self._started:
                     record.renew(now)
             record.service = upstream.service
@@ -348,7 +155,7 @@
         elif outcome is not DispatchOutcome.ANSWERED:
             self._maybe_eject(record, now)
 
-    def _note_success(self, record: _Record, sent_at: float, now: float) -> None:
+    def _note_success(self, record: UpstreamRecord, sent_at: float, now: float) -> None:
         record.successes += 1.0
         record.consecutive = 0
         sample_s = max(0.0, now - sent_at)
@@ -359,7 +166,11 @@
         record.latency_at = now
 
     def _note_trial(
-        self, record: _Record, outcome: DispatchOutcome, sent_at: float, now: float
+        self,
+        record: UpstreamRecord,
+        outcome: DispatchOutcome,
+        sent_at: float,
+        now: float,
     ) -> None:
         if record.trial_sent_at is None or sent_at < record.trial_sent_at:
             return  # sent before the ejection
@@ -371,7 +182,7 @@
         else:
             self._pause(record, now)
 
-    def _maybe_eject(self, record: _Record, now: float) -> None:
+    def _maybe_eject(self, record: UpstreamRecord, now: float) -> None:
         if record.state not in (LifeState.UP, LifeState.COLD):
             return
         total = record.successes + record.failures
@@ -398,7 +209,7 @@
         return ejected < max(1, len(names) // EJECT_MAX_SHARE_DIVISOR)
 
     @staticmethod
-    def _pause(record: _Record, now: float) -> None:
+    def _pause(record: UpstreamRecord, now: float) -> None:
         record.ejected_at = now
         record.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * record.pause_s))
 
@@ -413,7 +224,7 @@
             self._leave(record)
 
     @staticmethod
-    def _leave(record: _Record) -> None:
+    def _leave(record: UpstreamRecord) -> None:
         record.first_hand = True
         record.send("left")
 
--- a/tests/unit/test_health.py
+++ b/tests/unit/test_health.py
@@ -22,7 +22,8 @@
     parse_report,
 )
 from samphirebend.manifest import Upstream
-from samphirebend.upstreamstate import LifeState, UpstreamStates
+from samphirebend.upstreamrecord import LifeState
+from samphirebend.upstreamstate import UpstreamStates
 
 from ..reactor import on_reactor, reactor
 from .test_upstreamstate import make_manifest
--- a/tests/unit/test_routing.py
+++ b/tests/unit/test_routing.py
@@ -18,7 +18,7 @@
     expected_free,
     rank_hosts,
 )
-from samphirebend.upstreamstate import DispatchOutcome
+from samphirebend.upstreamrecord import DispatchOutcome
 
 from .test_upstreamstate import make_states
 
--- a/tests/unit/test_upstreamstate.py
+++ b/tests/unit/test_upstreamstate.py
@@ -8,14 +8,8 @@
 from samphirebend.addresses import Address
 from samphirebend.blocks import empty_table
 from samphirebend.manifest import Manifest, Region, Service, Upstream
-from samphirebend.upstreamstate import (
-    COLD_RAMP_S,
-    DispatchOutcome,
-    LifeState,
-    Listed,
-    Report,
-    UpstreamStates,
-)
+from samphirebend.upstreamrecord import DispatchOutcome, LifeState, Listed, Report
+from samphirebend.upstreamstate import COLD_RAMP_S, UpstreamStates
 
 FAILED = DispatchOutcome.FAILED
 ANSWERED = DispatchOutcome.ANSWERED
