Let suspects have slots that are reserved for own callers

A suspect may run only on its runner; when that host is in another region, the reservation for own callers refused it, and it waited there until its deadline.

Ruled out: claims of upstreams (the suspect was refused after the choice of an upstream, before the slot).

Change: the reservation does not apply to a suspect, with a unit test.

Conclusion: a request that only one host may run is no overflow.

--- a/samphirebend/places.py
+++ b/samphirebend/places.py
@@ -196,7 +196,10 @@
         name = self._router.upstream_for(usable, now)
         if name is None:
             return ErrorKind.CAP_REACHED
-        overflow = not job.relay_allowed and self._router.is_overflow(job.req)
+        # A suspect may run on this host only, wherever it comes from.
+        overflow = (
+            not alone and not job.relay_allowed and self._router.is_overflow(job.req)
+        )
         service = job.service.name
         if overflow and not self._router.overflow_free(service, now):
             return ErrorKind.CAP_REACHED
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -24,6 +24,7 @@
 )
 from samphirebend.quarantine import Quarantine, Verdict
 from samphirebend.retries import RetryBudget
+from samphirebend.room import Room
 from samphirebend.wire import Suspect
 
 PEER = PeerPlace("north-1")
@@ -273,3 +274,29 @@
     Deferred.fromCoroutine(queue.wait("read", 0.0)).addCallback(results.append)
     assert results == [False, False]
     assert queue.length("read") == 0
+
+
+@pytest.mark.parametrize("alone", [True, False])
+def test_only_suspects_of_other_regions_get_slots_that_are_reserved(
+    alone: bool,
+) -> None:
+    """Guards a suspect that no other host may run against a wait in vain."""
+    limits, router = Mock(), Mock()
+    limits.reserve.return_value = Ok(Slot("u", "r", "s"))
+    limits.rooms.return_value = [Room("u", 0, 3)]
+    router.overflow_free.return_value = 0
+    router.upstream_for.return_value = "u"
+    states = Mock()
+    states.limit.return_value = 3
+    dispatcher = make_dispatcher(
+        limits=limits,
+        router=router,
+        states=states,
+        keeper=Mock(),
+        quarantine=Quarantine(),
+    )
+    places = dispatcher._places
+    places.apply(Mock(upstreams={"u": Mock()}), {})
+    place = places._own_place(make_job(relay_allowed=False), alone, 0.0)
+    assert isinstance(place, Place) is alone
+    assert alone or place is ErrorKind.CAP_REACHED
