Keep the load tool's own waits out of the time of a refusal

Ruled out: garbage collection (largest pause 13 ms in the load tool, under 45 ms at the daemons' start only), a saturated process (load tool 34% of a core, each daemon at most 17%), a slow daemon (its own time was logged for each refusal).

Change: the load tool notes how late its loop runs, from 5 ms on, and takes that off the time of refusals. The bound of 50 ms stays. A refused relay over a long link takes 73 ms or more without any lateness, and still counts in full. The sum of the lateness is printed with the figure.

--- a/tests/integration/test_caps.py
+++ b/tests/integration/test_caps.py
@@ -308,6 +308,7 @@
         self.goodput = len(done) / 4
         self.refused = sum(row["did_not_run"] for row in rows)
         self.refusal_ms = max(row["refusal_p99_ms"] for row in rows)
+        self.delayed_ms = max(row["delayed_ms"] for row in rows)
 
 
 @pytest.fixture(scope="module")
@@ -324,7 +325,10 @@
 
 def test_refusals_are_prompt_in_overload(overload: Overload) -> None:
     """Guards callers against refusals after a long relay."""
-    print(f"refused within {overload.refusal_ms:.1f} ms (p99)")
+    print(
+        f"refused within {overload.refusal_ms:.1f} ms (p99), "
+        f"load tool late by {overload.delayed_ms:.1f} ms in all"
+    )
     assert overload.refused
     assert overload.refusal_ms <= REFUSAL_MS
 
--- a/tests/integration/test_standins.py
+++ b/tests/integration/test_standins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import http.client
 import threading
@@ -15,6 +16,7 @@
 from tests.cluster import Data, broken_conditions, eventually
 from tests.httpcalls import Answer, call, http_json
 from tests.processes import own_ip
+from tests.standins.caller import LoopDelay
 from tests.standins.launch import StandIns
 from tests.standins.upstream import answer_body, content_digest
 
@@ -241,3 +243,17 @@
         for name, states in runs.items()
     }
     assert len(broken_conditions([{**record, "keyed": keyed}], ledger)) == count
+
+
+def test_waits_of_the_load_tool_are_no_part_of_an_answer_s_time() -> None:
+    """Guards the time of refusals against a load tool that was not run for a while."""
+
+    async def watch(blocked_s: float) -> float:
+        delay = LoopDelay()
+        delay.start()
+        time.sleep(blocked_s)
+        await asyncio.sleep(0.001)
+        return delay.total_s
+
+    assert asyncio.run(watch(0.0)) < 0.05
+    assert asyncio.run(watch(0.06)) >= 0.05
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -30,6 +30,7 @@
 CONNECT_TIMEOUT_S = 1.0
 BLOCK = random.Random(7).randbytes(65536)
 MAX_LATENCY_US = 600_000_000
+LOOP_CHECK_S = 0.005
 Lookup = tuple[list[str], str, float]  # addresses, key, time when it expires
 
 
@@ -80,6 +81,31 @@
     hosts: list[str] = []
 
 
+class LoopDelay:
+    """Time for which this process did not get round to its events.
+
+    Callers in the field do not share one process, so that waits of the load tool
+    itself are no part of an answer's time.
+    """
+
+    def __init__(self) -> None:
+        self.total_s = 0.0
+        self._due = 0.0
+
+    def start(self) -> None:
+        """Watch the running loop."""
+        loop = asyncio.get_running_loop()
+        # A plain callback: a task would run after those that take answers.
+        self._due = loop.time() + LOOP_CHECK_S
+        loop.call_at(self._due, self._check)
+
+    def _check(self) -> None:
+        late_s = asyncio.get_running_loop().time() - self._due
+        if late_s > LOOP_CHECK_S:
+            self.total_s += late_s
+        self.start()
+
+
 class Connection:
     """A connection to one address, for one request at a time."""
 
@@ -148,6 +174,7 @@
         self.skipped: collections.Counter[str] = collections.Counter()
         self.refusals: dict[str, HdrHistogram] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.loop_delay = LoopDelay()
 
     async def send(
         self,
@@ -249,6 +276,7 @@
 
     async def run_all(self) -> dict[str, Any]:
         """Run the plan; return the summary."""
+        self.loop_delay.start()
         await asyncio.gather(*map(self.arrivals, self.plan.loads))
         if self.tasks:
             await asyncio.gather(*self.tasks)
@@ -276,6 +304,7 @@
             "kinds": dict(collections.Counter(r.kind for r in records if r.kind)),
             "p50_ms": latencies.get_value_at_percentile(50) / 1000,
             "p99_ms": latencies.get_value_at_percentile(99) / 1000,
+            "delayed_ms": self.loop_delay.total_s * 1000,
             "refusal_p99_ms": refusals.get_value_at_percentile(99) / 1000,
         }
 
@@ -330,7 +359,8 @@
         target = f"{prefix}/item?{self.query}"
         record.hosts.append(host)
         record.told.setdefault(ledger_id, "not-sent")
-        start = time.monotonic()
+        start, delay = time.monotonic(), self.caller.loop_delay
+        delayed_s = delay.total_s
         try:
             async with asyncio.timeout(self.caller.plan.attempt_timeout_s):
                 answer = await self.caller.send(
@@ -344,7 +374,8 @@
         record.told[ledger_id] = outcome
         record.kind = answer.headers.get("error-kind", "")
         if outcome == "did-not-run":
-            return self.refused(host, answer, time.monotonic() - start)
+            seconds = time.monotonic() - start - (delay.total_s - delayed_s)
+            return self.refused(host, answer, seconds)
         if outcome == "done" and answer.status == 200:
             expected = answer_body(ledger_id, ledger_id, load.size)
             record.outcome = "done" if is_own(answer, expected, ledger_id) else "wrong"
