Give each host the whole retry reserve for victims of a crash at its start

Their host had been named to the callers 0.4 s before and had earned two retries; the reserve was empty because only earnings filled it.

Ruled out: the wait of suspects for an idle upstream (both were answered within 1 ms of the notice to the peers, that is without a second attempt), and the quarantine (one crash, four suspects, as it should be).

Change: the reserve begins full and holds 12, three crashes with four requests in flight. Only requests whose upstream broke the connection may spend it, so that a brown-out without crashes still stays within 1.1 times the requests from the first one on. A unit test has the case that was seen.

--- a/samphirebend/retries.py
+++ b/samphirebend/retries.py
@@ -19,10 +19,11 @@
 SAVING_DECAY_S: Final = 1.0
 # A host with few requests may save one whole retry, however old.
 SAVING_FLOOR: Final = 1.0
-# Retries kept for requests that were in flight on an upstream that broke. A
-# crash hits several requests at once, often just after the callers have moved
-# to another host and the savings have decayed.
-CRASH_RESERVE: Final = 6.0
+# Retries kept for requests that were in flight on an upstream that broke: three
+# crashes with four requests in flight. A crash hits several requests at once, often
+# just after the callers have moved to a host that has earned nothing yet, so that a
+# host begins with the whole reserve.
+CRASH_RESERVE: Final = 12.0
 
 # The request surely did not run; another upstream or host may run it.
 _NOT_RUN_KINDS: Final = frozenset(
@@ -55,17 +56,17 @@
 class RetryBudget:
     """Allows retries up to a share of the requests seen.
 
-    Every retry spends what requests have earned before, and nothing is given
-    at the start, so that attempts never exceed 1.1 times the requests. Savings
-    that exceed their limit fill a reserve for the victims of a crash; it does
-    not decay, and a failure of another kind cannot spend it.
+    Every retry spends what requests have earned before, so that attempts never
+    exceed 1.1 times the requests. Beside it stands a reserve for the victims of a
+    crash: it does not decay, savings that exceed their limit refill it, and a
+    failure of another kind cannot spend it.
     """
 
     __slots__ = ("_recent", "_recent_at", "_reserved", "_saved")
 
     def __init__(self) -> None:
         self._saved = 0.0  # retries
-        self._reserved = 0.0  # retries after a crash
+        self._reserved = CRASH_RESERVE  # retries after a crash
         self._recent = 0.0  # decayed count of requests at _recent_at
         self._recent_at = -math.inf
 
