Show peers' connections and reported load in the status

Cause: `connected_hosts` and `reported_in_use` were called by tests only, and `Membership.last_heard` by one test. An operator could not see from the status whether a peer that is heard can also be sent to, or what an upstream reports beside what the host itself has in flight.

Ruled out: removing all three; the first two answer questions that a lost link or a lying upstream raises.

Change: `/v1/status` and `samphirebend status` have "connected" for each peer and "reported_in_use" for each upstream.

Before: two functions without a use in the product.

--- a/samphirebend/membership.py
+++ b/samphirebend/membership.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection
 from enum import Enum, unique
 from typing import Final
@@ -86,14 +85,13 @@
 class Membership:
     """The peers of one host, by host name."""
 
-    __slots__ = ("_last_heard", "_own", "_replaced", "_views")
+    __slots__ = ("_own", "_replaced", "_views")
 
     def __init__(self, own: str) -> None:
         self._own = own  # name of this host, whose messages are ignored
         self._views: dict[str, PeerView] = {}
         # For each host its replaced incarnations, oldest first.
         self._replaced: dict[str, dict[int, None]] = {}
-        self._last_heard = -math.inf
 
     def note_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take a report; return False if it is outdated and was ignored."""
@@ -132,10 +130,6 @@
         views = [self._views[name] for name in names]
         return [view for view in views if view.state(now) is PeerState.LIVE]
 
-    def last_heard(self) -> float:
-        """Return when any peer was last heard; minus infinity: never."""
-        return self._last_heard
-
     def was_replaced(self, host: str, incarnation: int) -> bool:
         """Tell whether a later incarnation of the host has been heard."""
         return incarnation in self._replaced.get(host, {})
@@ -165,4 +159,3 @@
 
     def _mark_heard(self, view: PeerView, now: float) -> None:
         view.heard_at = max(view.heard_at, now)
-        self._last_heard = max(self._last_heard, now)
--- a/samphirebend/status.py
+++ b/samphirebend/status.py
@@ -18,6 +18,7 @@
 from .membership import Membership
 from .metrics import Metrics
 from .options import Options
+from .peers import PeerService
 from .spread import SpreadService
 from .store import TableStore
 from .upstreamstate import UpstreamStates
@@ -38,6 +39,7 @@
         "_limits",
         "_membership",
         "_metrics",
+        "_peers",
         "_region",
         "_spread",
         "_states",
@@ -54,6 +56,7 @@
         self._limits = kernel.find("limits", Limits)
         self._membership = kernel.find("membership", Membership)
         self._metrics = kernel.find("metrics", Metrics)
+        self._peers = kernel.find("peers", PeerService)
         self._spread = kernel.find("spread", SpreadService)
         self._states = kernel.find("upstream_states", UpstreamStates)
         self._store = kernel.find("store", TableStore)
@@ -81,9 +84,11 @@
         }
 
     def _hosts(self, now: float) -> list[dict[str, Any]]:
+        connected = self._peers.connected_hosts()
         return [
             {
                 "host": view.host,
+                "connected": view.host in connected,
                 "manifest_version": view.manifest_version,
                 "stopping": view.stopping,
                 "heard_s_ago": _age(now, view.heard_at),
@@ -117,6 +122,7 @@
                 "state": self._states.state(name, now).value,
                 "in_flight": room.in_flight,
                 "limit": room.limit,
+                "reported_in_use": self._states.reported_in_use(name, now),
             }
             for name, room in sorted(rooms.items())
         ]
--- a/tests/integration/test_end_to_end.py
+++ b/tests/integration/test_end_to_end.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.cluster import Cluster, small_manifest
+from tests.cluster import Cluster, eventually, small_manifest
 from tests.httpcalls import call
 
 
@@ -71,3 +71,19 @@
     address = next(iter(cluster.entries.values()))
     status, headers, _ = call("GET", address, "/v1/services/nothing/a")
     assert (status, headers["error-kind"]) == (404, "UNKNOWN_SERVICE")
+
+
+def test_status_shows_what_the_host_hears_of_others(cluster: Cluster) -> None:
+    """Guards operators against a status that hides a lost peer or a stale report."""
+    host = next(iter(cluster.entries))
+
+    def shown() -> bool:
+        status = cluster.admin(host, "/v1/status")[1]
+        peers = {row["host"]: row["connected"] for row in status["hosts"]}
+        reports = [row["reported_in_use"] for row in status["upstreams"]]
+        return set(peers.values()) == {True} and len(peers) == 2 and set(reports) == {0}
+
+    eventually(shown, 5.0, "peers and reports in the status")
+    cluster.control("*", health_lie="silent")
+    eventually(lambda: not shown(), 10.0, "reports gone")
+    cluster.control("*", health_lie="")
