--- a/samphirebend/limits.py
+++ b/samphirebend/limits.py
@@ -26,7 +26,7 @@
         self.shard = shard  # whose lease must be valid at the dispatch
         self.region = region
         self.in_use = True
-        self.overflow = False  # taken by a relayed request of another region
+        self.overflow = False  # taken by a request that a full region relayed
 
 
 class _Waits:
--- a/samphirebend/reservation.py
+++ b/samphirebend/reservation.py
@@ -1,10 +1,12 @@
-"""Slots that relayed requests of other regions may take.
-
-`dispatch` reports each request of the region's own callers that takes a slot,
-and asks for the free slots that are left to others. Own callers come first: a
-request of another region gets a slot only beyond what the own ones need. Long
-requests from elsewhere would otherwise fill each dip of the own load and keep
-the slots when it returns. In telephony this is known as trunk reservation.
+"""Slots that requests of full regions may take.
+
+`places` reports each other request that takes a slot, and asks for the free
+slots that are left. Own callers come first: a request that another region
+relays for want of a slot gets one only beyond what they need. Long requests
+from elsewhere would otherwise fill each dip of the own load and keep the slots
+when it returns. Requests that left a region with free slots count as own ones,
+since their region takes them back. In telephony this is known as trunk
+reservation.
 """
 
 from __future__ import annotations
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -112,9 +112,11 @@
     dispatcher = make_dispatcher(quarantine=quarantine, router=router)
     job = make_job(relay_allowed=True)
     job.tried.add("north-1")  # its upstream crashed with the request in flight
+    job.overflow = True  # from its first relay; the runner would reserve its slots
     place = dispatcher._places.find(job, waited=False)
     assert isinstance(place, PeerPlace)
     assert place.host == "north-1"
+    assert not job.overflow
     Deferred.fromCoroutine(dispatcher._relay_to(job, place))
     assert dispatcher._places.find(job, waited=False) is ErrorKind.CAP_REACHED
 
