Move the choice of peers out of the routing module

Ruled out: moving only the constants; the log of relays is state, the choice a pure function of it.

Change: `relaylog` keeps what relays and heartbeats showed, `peerchoice` chooses, `routing` keeps upstreams and look-ups. The tests of the choice move to a file of their own, unchanged. No rule or constant changes.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -14,7 +14,8 @@
 from samphirebend.lookup import Lookup
 from samphirebend.membership import Membership
 from samphirebend.metrics import Metrics
-from samphirebend.routing import RelayLog, RelayRequest, choose_peer
+from samphirebend.peerchoice import RelayRequest, choose_peer
+from samphirebend.relaylog import RelayLog
 from samphirebend.shards import link_shares
 from samphirebend.wire import Heartbeat, HeartbeatReply, ShardLease, decode, encode
 
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -26,15 +26,10 @@
 from samphirebend.addresses import Address
 from samphirebend.blocks import empty_table
 from samphirebend.manifest import Manifest, Region, Service, Upstream
+from samphirebend.peerchoice import RelayRequest, choose_peer
+from samphirebend.relaylog import PeerOption
 from samphirebend.room import Room
-from samphirebend.routing import (
-    HostOption,
-    PeerOption,
-    RelayRequest,
-    choose_peer,
-    choose_upstream,
-    rank_hosts,
-)
+from samphirebend.routing import HostOption, choose_upstream, rank_hosts
 from samphirebend.upstreamrecord import DispatchOutcome, Report
 
 from .world import WORKLOADS, Backend, Host, Request, Workload
--- a/bench/world.py
+++ b/bench/world.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 from samphirebend.manifest import Manifest, Upstream
+from samphirebend.relaylog import RelayLog
 from samphirebend.reservation import Reservation
 from samphirebend.retries import RetryBudget
-from samphirebend.routing import RelayLog
 from samphirebend.upstreamstate import UpstreamStates
 
 
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -24,19 +24,11 @@
 from .lookup import MAX_ALTERNATES, Candidate
 from .manifest import Host, Manifest
 from .membership import Membership, PeerState
+from .peerchoice import NEAR_DELAY_S, RelayRequest, choose_peer
+from .relaylog import PeerOption, RelayLog
 from .reservation import Reservation
 from .room import Room
-from .routing import (
-    HEADROOM,
-    NEAR_DELAY_S,
-    HostOption,
-    PeerOption,
-    RelayLog,
-    RelayRequest,
-    choose_peer,
-    choose_upstream,
-    rank_hosts,
-)
+from .routing import HEADROOM, HostOption, choose_upstream, rank_hosts
 from .upstreamstate import UpstreamStates
 
 MS_PER_S: Final = 1000.0
--- /dev/null
+++ b/tests/unit/test_peerchoice.py
@@ -0,0 +1,156 @@
+"""Guards the choice of the peer for a relay."""
+
+from __future__ import annotations
+
+from random import Random
+
+from samphirebend.peerchoice import SETTLE_S, RelayRequest, choose_peer, expected_free
+from samphirebend.relaylog import PeerOption, RelayLog
+
+
+def make_request(own_free: int, size: int = 100, service: str = "s") -> RelayRequest:
+    return RelayRequest(service, size, True, "a", own_free, 10, own_free, 10, 1.0)
+
+
+def peer(host: str, region: str, free: int, delay_s: float = 0.02) -> PeerOption:
+    return PeerOption(host, region, free, 10, free, 10, 1.0, delay_s, 0.0)
+
+
+def choose(
+    request: RelayRequest,
+    options: list[PeerOption],
+    measure: str,
+    log: RelayLog,
+    now: float = 1.0,
+    seed: int = 1,
+    full_for_s: float = 4 * SETTLE_S,
+) -> str | None:
+    """Choose a peer in a region that has been full until now."""
+    for since_s in (full_for_s, full_for_s / 2):
+        log.note_overflow(request.service, now - since_s)
+    return choose_peer(request, options, log, measure, now, Random(seed))
+
+
+def share_moved(request: RelayRequest, option: PeerOption, measure: str) -> float:
+    chosen = [
+        choose(request, [option], measure, RelayLog(), seed=seed) for seed in range(400)
+    ]
+    return chosen.count(option.host) / len(chosen)
+
+
+def test_peer_of_the_region_comes_first_and_then_the_nearest() -> None:
+    far, near, local = peer("f", "c", 9, 0.05), peer("n", "b", 9), peer("l", "a", 9)
+    log, request = RelayLog(), make_request(0)
+    local.delay_s = 0.001
+    assert choose(request, [far, near, local], "latency", log) == "l"
+    assert choose(request, [far, near], "latency", log) == "n"
+    assert choose(request, [peer("n", "b", 1, 0.01)], "latency", log) == "n"
+    assert choose(request, [peer("l", "a", 0)], "latency", log) is None
+
+
+def test_request_stays_while_the_own_load_rises() -> None:
+    # Load that had risen in all regions within half a second made hosts with free
+    # slots relay to regions that were full when the relays arrived.
+    for own_free, host_free in ((10, 6), (4, 10)):
+        log = RelayLog()
+        log.own_free(10, 0.0)
+        request = make_request(own_free)
+        request.host_free = host_free
+        moved = {
+            choose(request, [peer("n", "b", 9)], "headroom", log, seed=seed)
+            for seed in range(40)
+        }
+        assert moved == {None}
+
+
+def test_request_does_not_seek_the_last_slots_of_another_region() -> None:
+    # Its relay would be refused there, and it had a slot at home.
+    request = make_request(1)
+    assert share_moved(request, peer("n", "b", 2), "headroom") == 0.0
+    assert share_moved(request, peer("n", "b", 3), "headroom") > 0.5
+
+
+def test_likely_refusal_in_the_region_costs_more_than_the_way() -> None:
+    # A relay to a nearly full peer ends in a refusal and a second way.
+    options = [peer("l", "a", 0, 0.001), peer("n", "b", 9)]
+    assert choose(make_request(0), options, "latency", RelayLog()) == "n"
+
+
+def test_upload_stays_in_the_region_while_it_has_a_slot() -> None:
+    # Uploads fill the links of the user whose links are small.
+    options = [peer("l", "a", 2, 0.001), peer("n", "b", 10, 0.002)]
+    request = make_request(0, size=10**7)
+    for measure in ("latency", "headroom"):
+        assert choose(request, options, measure, RelayLog()) == "l"
+
+
+def test_far_region_is_asked_only_when_its_figures_show_the_overflow() -> None:
+    # When load rises in all regions at once, each had told the others free slots.
+    request, options = make_request(0), [peer("n", "b", 9), peer("l", "a", 1, 0.001)]
+    # The figures arrived at 1.0, after 0.02 on their way.
+    for full_for_s, expected in ((SETTLE_S, "l"), (SETTLE_S + 0.03, "n")):
+        log = RelayLog()
+        log.note_refused("l", "s", 0.9)
+        chosen = choose(request, options, "latency", log, full_for_s=full_for_s)
+        assert chosen == expected
+    log = RelayLog()
+    choose(request, options[:1], "latency", log, now=1.0)
+    # An overflow that ended is forgotten.
+    assert choose(request, options[:1], "latency", log, now=9.0, full_for_s=0.0) is None
+
+
+def test_answer_to_a_relay_goes_before_an_older_heartbeat() -> None:
+    # Slots that a heartbeat told 0.5 s ago may all be in use by now.
+    log, request = RelayLog(), make_request(0)
+    option = peer("n", "b", 9)
+    log.note_told("n", "s", 0, 1.2)
+    assert choose(request, [option], "latency", log, now=1.3) is None
+    log.note_told("n", "s", 7, 1.4)
+    assert choose(request, [option], "latency", log, now=1.5) == "n"
+
+
+def test_own_relays_are_discounted_while_they_last() -> None:
+    # Until its next heartbeat a peer would look as free as before.
+    log, request = RelayLog(), make_request(0)
+    options = [peer("l", "a", 2, 0.001)]
+    for _ in range(2):
+        assert choose(request, options, "latency", log) == "l"
+        log.note_relay("l", "s", 1.0)
+    assert choose(request, options, "latency", log) is None
+    assert choose(request, options, "latency", log, now=2.5) == "l"
+
+
+def test_refusal_goes_before_what_the_peer_told() -> None:
+    # A peer that tells free slots and refuses would be asked again and again.
+    log, request = RelayLog(), make_request(0)
+    options = [peer("l", "a", 9, 0.001), peer("k", "a", 3, 0.001)]
+    assert choose(request, options, "latency", log, now=1.1) == "l"
+    log.note_refused("l", "s", 1.1)
+    assert choose(request, options, "latency", log, now=1.11) == "k"
+
+
+def test_only_small_idempotent_requests_move_to_an_emptier_region() -> None:
+    emptier = peer("n", "b", 8)
+    assert share_moved(make_request(2), emptier, "headroom") > 0.8
+    assert share_moved(make_request(2, size=10**7), emptier, "headroom") == 0.0
+    assert share_moved(make_request(9), emptier, "headroom") == 0.0
+    request = make_request(2)
+    request.idempotent = False
+    assert share_moved(request, emptier, "headroom") == 0.0
+
+
+def test_headroom_moves_more_than_latency_and_both_in_proportion() -> None:
+    # Moving all or nothing on figures that lag swings between regions.
+    slight = peer("n", "b", 3)
+    headroom = share_moved(make_request(2), slight, "headroom")
+    latency = share_moved(make_request(2), slight, "latency")
+    assert 0.2 < latency < 0.4 < headroom < 0.6
+
+
+def test_stale_figures_fade_to_half_of_the_slots() -> None:
+    # Figures that stopped an hour ago must not steer traffic.
+    log, option = RelayLog(), peer("n", "b", 10)
+    fresh = expected_free(option, make_request(0), log, 1.0)
+    old = expected_free(option, make_request(0), log, 3600.0)
+    assert fresh > 9.0
+    assert 4.9 < old < 5.1
--- a/tests/unit/test_router.py
+++ b/tests/unit/test_router.py
@@ -16,8 +16,8 @@
 from samphirebend.links import LinkBudgets
 from samphirebend.manifest import Manifest
 from samphirebend.membership import Membership
+from samphirebend.peerchoice import SETTLE_S
 from samphirebend.router import OPTIONS_KEPT_S, Router
-from samphirebend.routing import SETTLE_S
 from samphirebend.shards import assign, link_shares
 from samphirebend.upstreamstate import UpstreamStates
 from samphirebend.wire import Heartbeat, ServiceLoad
