--- a/samphirebend/addresses.py
+++ b/samphirebend/addresses.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import ipaddress
+from typing import TYPE_CHECKING
 
-from .jsonfile import Reader
+if TYPE_CHECKING:
+    from .jsonfile import Reader
 
 
 class Address:
--- a/samphirebend/daemon.py
+++ b/samphirebend/daemon.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 import random
 import secrets
 import signal
@@ -22,6 +21,7 @@
 from twisted.internet.defer import Deferred
 
 from .admin import AdminApp, AdminService
+from .collector import limit_collections
 from .dispatch import Dispatcher
 from .drain import Drain
 from .entry import Entry
@@ -54,8 +54,6 @@
 
 EXIT_BAD_SETTINGS: Final = 2
 HELD_CHECK_S: Final = 0.5
-# Growth in objects before the garbage collector looks at the youngest of them.
-COLLECT_AFTER_OBJECTS: Final = 10_000
 
 
 class Server:
@@ -348,18 +346,6 @@
     return Daemon(cfg, reactor)
 
 
-def limit_collections() -> None:
-    """Keep the objects of the start out of the garbage collector's passes.
-
-    A full pass over them blocked the event loop for 36 to 59 ms. Requests leave
-    no reference cycles behind, but those in flight together hold more than the
-    default of 700 objects, which started a pass every 25 requests.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER_OBJECTS, 10, 10)
-
-
 def run_daemon(cfg: Options) -> int:
     """Run a daemon until it is told to stop; return the exit status."""
     from twisted.internet import reactor as installed_reactor
--- a/samphirebend/dispatch.py
+++ b/samphirebend/dispatch.py
@@ -23,8 +23,8 @@
     StreamedAnswer,
     UploadPipe,
 )
+from .headers import Headers
 from .httpclient import ClientConnection, ConnectionPool, ResponseHead
-from .httpserver import Headers
 from .job import Job, answer_headers, unix_ms_after
 from .leasekeeper import LeaseKeeper
 from .ledger import KeptAnswer
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -27,7 +27,8 @@
     StreamedAnswer,
     respond_paced,
 )
-from .httpserver import Headers, ServerRequest
+from .headers import Headers
+from .httpserver import ServerRequest
 from .job import Job, answer_headers, failure_headers
 from .ledger import KeptAnswer, Ledger, LedgerEntry, RequestKey, parse_key
 from .lookup import Lookup
--- a/samphirebend/exchange.py
+++ b/samphirebend/exchange.py
@@ -18,8 +18,9 @@
 from twisted.internet.defer import Deferred
 
 from .errorcodes import ErrorKind
+from .headers import Headers
 from .httpclient import ClientConnection, ResponseHead
-from .httpserver import BodySink, Headers, ServerRequest
+from .httpserver import BodySink, ServerRequest
 from .ledger import KeptAnswer
 
 # Answers up to this size are checked whole before the caller gets a byte.
@@ -27,20 +28,6 @@
 # Bytes of a message's head, for the pacing of small messages.
 HEAD_BYTES: Final = 512
 NO_SHARE_RECHECK_S: Final = 0.1
-HOP_HEADERS: Final = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 # Shares of very thin links are not split further; a head alone takes this much.
 MIN_PIECE_BYTES: Final = 512
 
@@ -109,15 +96,6 @@
 Received = Result[KeptAnswer | StreamedAnswer, ErrorKind]
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that are passed on.
-
-    >>> end_to_end([(b"connection", b"close"), (b"accept", b"*/*")])
-    [(b'accept', b'*/*')]
-    """
-    return [item for item in headers if item[0] not in HOP_HEADERS]
-
-
 class DigestCheck:
     """Checks a body against the sha-256 of a Content-Digest header (RFC 9530)."""
 
--- /dev/null
+++ b/samphirebend/gateway/app.py
@@ -0,0 +1,234 @@
+"""Builds the parts of a gateway process and runs them."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Iterable
+from typing import Any, Final
+
+import msgspec
+from loguru import logger
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from ..addresses import Address, parse_address
+from ..httpclient import ConnectionPool
+from ..kernel import Kernel
+from ..metrics import Metrics
+from .budgets import ColdLimit, RetryBudget
+from .dialect import Dialect
+from .follower import Follower
+from .forward import Gateway
+from .front import Front
+from .members import Member, Members
+from .peers import Peers
+from .placement import Placement
+from .replica import Replica
+from .rowstore import RowStore
+from .settings import GatewaySettings
+from .stop import Stop
+from .upstreams import UpstreamBook
+from .view import View
+
+CONNECT_TIMEOUT_S: Final = 0.35
+# Table in which hosts list themselves, so that new ones find the others.
+HOSTS_TABLE: Final = "hosts"
+LIST_TIMEOUT_S: Final = 1.5
+LIST_RETRY_S: Final = 1.0
+UPKEEP_S: Final = 0.2
+FORGET_GONE_S: Final = 20.0
+
+
+class ListedHost(msgspec.Struct):
+    """Row of one host in the list of hosts."""
+
+    zone: str
+    region: str
+    front: str
+    peer: str
+
+
+class App:
+    """All parts of one gateway process, wired together."""
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        dialect: Dialect,
+        store: RowStore,
+        tables: Iterable[str],
+        reactor: Any,
+    ) -> None:
+        clock, rng = time.monotonic, random.Random()
+        self._cfg = cfg
+        self._reactor = reactor
+        self._store = store
+        self._stopping = False
+        self.kernel = Kernel()
+        self.metrics = Metrics()
+        self.book = UpstreamBook(cfg.regions)
+        cold = ColdLimit(cfg.bounds.cold_over, cfg.bounds.cold_slack)
+        placement = Placement(self.book, cold, rng)
+        self.view = View(self.book, placement)
+        self.members = Members(_own_member(cfg, rng), rng)
+        self.pool = ConnectionPool(reactor, clock, None, cfg.host_ip, CONNECT_TIMEOUT_S)
+        bounds = cfg.bounds
+        budget = RetryBudget(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self.gateway = Gateway(
+            dialect,
+            self.view,
+            placement,
+            self.members,
+            budget,
+            cold,
+            self.pool,
+            self.metrics,
+            reactor,
+            rng,
+        )
+        self.follower = Follower(
+            tables,
+            store,
+            Replica(tables),
+            dialect.decode_row,
+            self.view,
+            reactor,
+            clock,
+        )
+        self.peers = Peers(
+            self.members, self.follower, cfg.seeds, self.pool, reactor, clock, rng
+        )
+        self.front = Front(
+            dialect,
+            self.gateway,
+            self.view,
+            self.members,
+            bounds.lookup_ttl_max_s,
+            reactor,
+            clock,
+        )
+        self.front.add_listener(cfg.front, callers=True)
+        self.front.add_listener(cfg.ready, callers=False)
+        self.front.add_listener(cfg.directory, callers=False)
+        self.stop = Stop(
+            self.gateway,
+            self.front,
+            self.members,
+            self.peers,
+            bounds.stop_grace_s,
+            reactor,
+        )
+        self.kernel.register("follower", self.follower)
+        self.kernel.register("peers", self.peers)
+        self.kernel.register("front", self.front)
+        self.follower.on_change = self._note_change
+
+    def _note_change(self) -> None:
+        self.members.own.ready = self.view.config is not None and not self._stopping
+        self.peers.notify()
+
+    async def run(self) -> None:
+        """Start all services and list this host."""
+        await self.kernel.start()
+        self._keep_up()
+        logger.info(
+            "gateway serves",
+            event="started",
+            zone=self._cfg.zone,
+            incarnation=self.members.own.incarnation,
+        )
+        await self._list_host()
+
+    async def shut_down(self) -> None:
+        """Run the planned stop and end all services."""
+        self._stopping = True
+        await self.stop.run()
+        await self.kernel.stop()
+        self.pool.close_all()
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the planned stop has begun."""
+        return self._stopping
+
+    async def _list_host(self) -> None:
+        """Add this host to the list of hosts and read the others'."""
+        own = self.members.own
+        row = ListedHost(own.zone, own.region, str(own.front), str(own.peer))
+        value = msgspec.json.encode(row)
+        while not self._stopping:
+            read = await self._store.read(HOSTS_TABLE, LIST_TIMEOUT_S)
+            if not isinstance(read, Err):
+                known = {item.key: item.value for item in read.ok_value.rows}
+                self._note_listed(known)
+                if known.get(own.host) == value:
+                    return
+                put = await self._store.put(
+                    HOSTS_TABLE, own.host, value, LIST_TIMEOUT_S
+                )
+                if not isinstance(put, Err):
+                    return
+            await deferLater(self._reactor, LIST_RETRY_S)
+
+    def _note_listed(self, rows: dict[str, bytes | None]) -> None:
+        for host, value in rows.items():
+            try:
+                listed = msgspec.json.decode(value or b"", type=ListedHost)
+            except msgspec.DecodeError as exc:
+                logger.warning("listed host ignored: {}", exc, event="row_ignored")
+                continue
+            member = Member(host, listed.zone, listed.region)
+            member.front = parse_address(listed.front) or member.front
+            member.peer = parse_address(listed.peer) or member.peer
+            self.members.note_listed(member)
+        self.members.listed = True
+        self.peers.notify_all()
+
+    def _keep_up(self) -> None:
+        now = time.monotonic()
+        self.view.expire_held(now)
+        for name in self.book.forget_gone(now - FORGET_GONE_S):
+            self.gateway.cold.forget(name)
+            self.pool.close_idle(name)
+        self._reactor.callLater(UPKEEP_S, self._keep_up)
+
+
+def _own_member(cfg: GatewaySettings, rng: random.Random) -> Member:
+    member = Member(cfg.host, cfg.zone, cfg.region)
+    member.front = cfg.front or Address(cfg.host_ip, 1)
+    member.peer = cfg.peer
+    member.incarnation = rng.getrandbits(62)
+    return member
+
+
+def run_app(app: App, reactor: Any) -> int:
+    """Run a gateway until it is told to stop; return the exit status."""
+    status = [0]
+
+    def fail(failure: Any) -> None:
+        logger.opt(exception=failure.value).error("gateway ends", event="bug")
+        status[0] = 1
+        reactor.stop()
+
+    def begin_stop() -> None:
+        if not app.stopping:
+            done = Deferred.fromCoroutine(app.shut_down())
+            done.addCallbacks(lambda _: reactor.stop(), fail)
+
+    def on_signal(number: int, _frame: object) -> None:
+        reactor.callFromThread(begin_stop)
+
+    def begin() -> None:
+        signal.signal(signal.SIGTERM, on_signal)
+        signal.signal(signal.SIGINT, on_signal)
+        signal.signal(signal.SIGHUP, lambda _number, _frame: None)
+        Deferred.fromCoroutine(app.run()).addErrback(fail)
+
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    return status[0]
--- /dev/null
+++ b/samphirebend/gateway/attempt.py
@@ -0,0 +1,226 @@
+"""One try of a request at one upstream, from the connection to the end."""
+
+from __future__ import annotations
+
+from enum import Enum, unique
+from typing import Final
+
+from result import Err
+from twisted.internet.defer import Deferred
+
+from ..errorcodes import ErrorKind
+from ..headers import Headers, end_to_end
+from ..httpclient import ClientConnection, ConnectionPool, ResponseHead
+from ..httpserver import ServerRequest
+from .body import RequestBody
+from .dialect import AnswerFacts, Dialect
+from .upstreams import Upstream
+
+# Answers to requests that may be repeated are held up to this size, so that one
+# that breaks off can be replaced.
+HELD_ANSWER_BYTES: Final = 64 * 1024
+# An upstream may drop a connection that was idle for longer, and what is sent
+# on it then is lost; requests that may not run twice use fresher ones.
+MAX_IDLE_ONCE_S: Final = 0.8
+MAX_IDLE_S: Final = 4.0
+
+
+@unique
+class AttemptEnd(Enum):
+    """How a try ended."""
+
+    ANSWERED = "answered"  # the upstream's whole answer is at hand
+    STREAMED = "streamed"  # the answer went to the caller as it came
+    NOT_SENT = "not-sent"  # no connection; nothing reached the upstream
+    NOT_RUN = "not-run"  # the upstream stated that it did not run the request
+    LOST = "lost"  # no whole answer came; the request may have run
+    CANCELLED = "cancelled"  # this host gave the try up
+
+
+class Attempt:
+    """Sends a request once and collects or streams the answer."""
+
+    __slots__ = (
+        "_conn",
+        "_dialect",
+        "_held_bytes",
+        "_may_hold",
+        "_number",
+        "_parts",
+        "_req",
+        "_request_id",
+        "_streaming",
+        "done",
+        "end_kind",
+        "error",
+        "facts",
+        "head_seen",
+        "sent",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        req: ServerRequest,
+        request_id: str,
+        upstream: Upstream,
+        may_hold: bool,
+    ) -> None:
+        self._dialect = dialect
+        self._req = req
+        self._request_id = request_id
+        self._may_hold = may_hold  # the answer may be replaced by another try's
+        self._conn: ClientConnection | None = None
+        self._parts: list[bytes] = []
+        self._held_bytes = 0
+        self._streaming = False
+        self.upstream = upstream
+        self.sent = False  # the write of the request began
+        self.head_seen: ResponseHead | None = None
+        self.facts = AnswerFacts()
+        self.error: ErrorKind | None = None
+        self.end_kind: AttemptEnd | None = None
+        self.done: Deferred[AttemptEnd] = Deferred()
+
+    async def connect(self, pool: ConnectionPool, idempotent: bool) -> bool:
+        """Get a connection; return whether the request may be sent on it."""
+        max_idle_s = MAX_IDLE_S if idempotent else MAX_IDLE_ONCE_S
+        entry = self.upstream.entry
+        acquired = await pool.acquire(entry.address, entry.upstream, max_idle_s)
+        if isinstance(acquired, Err):
+            self.error = acquired.err_value
+            self._finish(AttemptEnd.NOT_SENT)
+            return False
+        if self.end_kind is not None:  # cancelled meanwhile
+            acquired.ok_value.put_back()
+            return False
+        self._conn = acquired.ok_value
+        return True
+
+    def send(self, body: RequestBody, time_left_s: float) -> None:
+        """Write the request."""
+        assert self._conn is not None
+        self.sent = True
+        req = self._req
+        headers = self._dialect.upstream_headers(req, self.upstream.name, time_left_s)
+        whole = body.whole
+        if whole is not None:
+            headers = _with_length(headers, whole, req.has_body)
+        elif req.content_length is None:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        self._conn.send(
+            req.method,
+            req.target,
+            headers,
+            whole,
+            self,
+            accepts=self._accepts,
+            unframed_allowed=True,
+        )
+        if whole is None:
+            body.stream_to(self._conn)
+
+    def cancel(self) -> None:
+        """Give the try up and close its connection."""
+        if self.end_kind is None:
+            if self._conn is not None:
+                self._conn.cancel()
+            self._finish(AttemptEnd.CANCELLED)
+
+    @property
+    def body(self) -> bytes:
+        """Return the body of a whole answer."""
+        return b"".join(self._parts)
+
+    @property
+    def streaming(self) -> bool:
+        """Tell whether bytes of the answer went to the caller."""
+        return self._streaming
+
+    @property
+    def reused_connection(self) -> bool:
+        """Tell whether the connection had carried requests before."""
+        return self._conn is not None and self._conn.uses > 1
+
+    def _accepts(self, head: ResponseHead) -> bool:
+        facts = self._dialect.read_answer(head, self._request_id)
+        # An answer without an id can only be the one that is due.
+        return facts.own or not facts.signed
+
+    # Sink of the answer.
+
+    def head(self, head: ResponseHead) -> None:
+        """Take the head of the answer."""
+        self.head_seen = head
+        self.facts = self._dialect.read_answer(head, self._request_id)
+        conn = self._conn
+        if conn is not None and self.facts.keep_s is not None:
+            conn.keep_s = max(0.0, self.facts.keep_s - 1.0)
+        if not self._may_hold and is_acceptable(head, self.facts):
+            self._begin_stream()
+
+    def write(self, data: bytes) -> None:
+        """Take a part of the answer's body."""
+        if self._streaming:
+            self._req.write(data)
+            return
+        self._parts.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes > HELD_ANSWER_BYTES and self._is_good():
+            self._begin_stream()
+
+    def end(self) -> None:
+        """Take the end of the answer."""
+        if self._streaming:
+            self._req.finish()
+            self._finish(AttemptEnd.STREAMED)
+        elif self.facts.not_run:
+            self._finish(AttemptEnd.NOT_RUN)
+        elif self._is_good():
+            self._finish(AttemptEnd.ANSWERED)
+        else:
+            self.error = ErrorKind.WRONG_ANSWER
+            self._finish(AttemptEnd.LOST)
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Take the failure of the exchange."""
+        self.error = kind
+        if self._streaming:
+            self._req.abort()
+        self._finish(AttemptEnd.LOST)
+
+    def _is_good(self) -> bool:
+        head = self.head_seen
+        return head is not None and is_acceptable(head, self.facts)
+
+    def _begin_stream(self) -> None:
+        head, conn = self.head_seen, self._conn
+        assert head is not None
+        self._streaming = True
+        if conn is not None:
+            self._req.on_pause = conn.pause
+            self._req.on_resume = conn.resume
+        self._req.start(head.status, end_to_end(head.headers))
+        held, self._parts = self._parts, []
+        for part in held:
+            self._req.write(part)
+
+    def _finish(self, kind: AttemptEnd) -> None:
+        if self.end_kind is None:
+            self.end_kind = kind
+            self.done.callback(kind)
+
+
+def is_acceptable(head: ResponseHead, facts: AnswerFacts) -> bool:
+    """Tell whether an answer is the upstream's own and unchanged."""
+    if facts.not_run:
+        return False
+    return facts.signed and b"content-encoding" not in head.header
+
+
+def _with_length(headers: Headers, body: bytes, has_body: bool) -> Headers:
+    kept = [item for item in headers if item[0] != b"content-length"]
+    if has_body or body:
+        kept.append((b"Content-Length", str(len(body)).encode()))
+    return kept
--- /dev/null
+++ b/samphirebend/gateway/budgets.py
@@ -0,0 +1,88 @@
+"""Shares of limits that all hosts keep together, without a call for each use.
+
+A limit that binds the sum over all hosts is divided by the number of hosts that
+may be alive. Each host keeps its own part, so the sum holds also while hosts do
+not hear each other.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+# Part of the common allowance that is used, so that windows which end at other
+# moments at other hosts stay within it.
+BUDGET_SHARE: Final = 0.8
+
+
+class RetryBudget:
+    """Bounds repeated arrivals at each service in a sliding window."""
+
+    __slots__ = ("_first", "_ratio", "_repeats", "_slack", "_window_s")
+
+    def __init__(self, ratio: float, window_s: float, slack: float) -> None:
+        self._ratio = ratio  # repeats for each request
+        self._window_s = window_s
+        self._slack = slack  # repeats beyond the ratio, of all hosts together
+        self._first: dict[str, deque[float]] = {}
+        self._repeats: dict[str, deque[float]] = {}
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a caller's request to a service."""
+        self._recent(self._first, service, now).append(now)
+
+    def allows(self, service: str, hosts: int, now: float) -> bool:
+        """Tell whether one more repeat fits this host's share."""
+        repeats = len(self._recent(self._repeats, service, now))
+        requests = len(self._recent(self._first, service, now))
+        most = self._ratio * requests + self._slack / max(1, hosts)
+        return repeats + 1 <= BUDGET_SHARE * most
+
+    def note_repeat(self, service: str, now: float) -> None:
+        """Count an arrival at the service beyond the first of a request."""
+        self._recent(self._repeats, service, now).append(now)
+
+    def left(self, service: str, hosts: int, now: float) -> float:
+        """Return the repeats that this host may still make now."""
+        repeats = len(self._recent(self._repeats, service, now))
+        requests = len(self._recent(self._first, service, now))
+        most = self._ratio * requests + self._slack / max(1, hosts)
+        return max(0.0, BUDGET_SHARE * most - repeats)
+
+    def _recent(
+        self, times: dict[str, deque[float]], service: str, now: float
+    ) -> deque[float]:
+        recent = times.setdefault(service, deque())
+        while recent and recent[0] <= now - self._window_s:
+            recent.popleft()
+        return recent
+
+
+class ColdLimit:
+    """Bounds the requests that cold upstreams get within any second."""
+
+    __slots__ = ("_over", "_sent", "_slack")
+
+    def __init__(self, over: float, slack: float) -> None:
+        self._over = over  # factor on the rate that an upstream states
+        self._slack = slack  # requests beyond it
+        self._sent: dict[str, deque[float]] = {}
+
+    def allows(self, upstream: str, per_s: float, hosts: int, now: float) -> bool:
+        """Tell whether one more request fits this host's share."""
+        most = int((per_s * self._over + self._slack) * BUDGET_SHARE / max(1, hosts))
+        return len(self._recent(upstream, now)) < most
+
+    def note_sent(self, upstream: str, now: float) -> None:
+        """Count a request to an upstream, cold or not."""
+        self._recent(upstream, now).append(now)
+
+    def forget(self, upstream: str) -> None:
+        """Drop what is known of an upstream that is gone."""
+        self._sent.pop(upstream, None)
+
+    def _recent(self, upstream: str, now: float) -> deque[float]:
+        sent = self._sent.setdefault(upstream, deque())
+        while sent and sent[0] <= now - 1.0:
+            sent.popleft()
+        return sent
--- /dev/null
+++ b/samphirebend/gateway/follower.py
@@ -0,0 +1,145 @@
+"""Follows the store's tables and hands what changed to the view.
+
+Each table is read once and then followed. While the store gives no answer, the
+rows come from a peer that knows newer ones, so that a host cut off from the store
+learns what the others do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+from loguru import logger
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from .news import News
+from .replica import Replica, Row
+from .rowstore import Page, RowStore, StoreFault
+from .view import View
+
+FEED_WAIT_S: Final = 10.0
+READ_TIMEOUT_S: Final = 1.5
+RETRY_S: Final = 0.3
+# After trouble with the store, entries may be missing that come back.
+DISTURBED_S: Final = 4.0
+
+
+class Follower:
+    """Keeps the replica and the view up to date."""
+
+    __slots__ = (
+        "_clock",
+        "_decode",
+        "_reactor",
+        "_store",
+        "_tables",
+        "_up",
+        "_view",
+        "on_change",
+        "replica",
+        "running",
+    )
+
+    def __init__(
+        self,
+        tables: Iterable[str],
+        store: RowStore,
+        replica: Replica,
+        decode: Callable[[Row], News],
+        view: View,
+        reactor: Any,
+        clock: Callable[[], float],
+    ) -> None:
+        self._tables = list(tables)
+        self._store = store
+        self.replica = replica
+        self._decode = decode
+        self._view = view
+        self._reactor = reactor
+        self._clock = clock
+        self._up: dict[str, bool] = {}
+        self.on_change: Callable[[], None] = lambda: None
+        self.running = False
+
+    def start(self) -> None:
+        """Begin to follow all tables."""
+        self.running = True
+        for table in self._tables:
+            done = Deferred.fromCoroutine(self._follow(table))
+            done.addErrback(self._note_bug, table)
+
+    def stop(self) -> None:
+        """Stop after the calls that are under way."""
+        self.running = False
+
+    def connected(self) -> bool:
+        """Tell whether the store answers for all tables."""
+        return all(self._up.get(table, False) for table in self._tables)
+
+    def take(self, table: str, changed: list[Row]) -> None:
+        """Apply rows that changed."""
+        now = self._clock()
+        for row in changed:
+            self._view.apply(self._decode(row), now)
+        if changed:
+            self.on_change()
+
+    async def _follow(self, table: str) -> None:
+        reads_whole = True
+        while self.running:
+            if reads_whole:
+                read = await self._store.read(table, READ_TIMEOUT_S)
+            else:
+                after = self.replica.version(table)
+                read = await self._store.follow(table, after, FEED_WAIT_S)
+            if isinstance(read, Err):
+                self._note_fault(table, read.err_value)
+                reads_whole = reads_whole or read.err_value in (
+                    StoreFault.HISTORY_LOST,
+                    StoreFault.UNREADABLE,
+                )
+                if read.err_value is not StoreFault.HISTORY_LOST:
+                    await deferLater(self._reactor, RETRY_S)
+                continue
+            self._note_answer(table)
+            self._take_page(table, read.ok_value, reads_whole)
+            reads_whole = False
+
+    def _take_page(self, table: str, page: Page, whole: bool) -> None:
+        if whole:
+            changed = self.replica.replace(table, page.rows, page.version)
+        else:
+            changed = self.replica.merge(table, page.rows, page.version)
+        self.take(table, changed)
+
+    def _note_fault(self, table: str, fault: StoreFault) -> None:
+        self._view.store_disturbed_until = self._clock() + DISTURBED_S
+        if self._up.get(table, True):
+            self._up[table] = False
+            logger.warning(
+                "store lost", event="store_lost", table=table, fault=fault.value
+            )
+
+    def _note_answer(self, table: str) -> None:
+        if not self._up.get(table, False):
+            self._up[table] = True
+            logger.info(
+                "store answers",
+                event="store_regained",
+                table=table,
+                version=self.replica.version(table),
+            )
+
+    def _note_bug(self, failure: Any, table: str) -> None:
+        logger.opt(exception=failure.value).error(
+            "following a table failed", event="bug", table=table
+        )
+        self._reactor.callLater(RETRY_S, self._restart, table)
+
+    def _restart(self, table: str) -> None:
+        if self.running:
+            done = Deferred.fromCoroutine(self._follow(table))
+            done.addErrback(self._note_bug, table)
--- /dev/null
+++ b/samphirebend/gateway/forward.py
@@ -0,0 +1,475 @@
+"""The way of one request: route, place, send, try again where that is safe, answer."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from ..errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
+from ..headers import end_to_end
+from ..httpclient import ConnectionPool
+from ..httpserver import ServerRequest
+from ..metrics import Metrics
+from ..requestlife import make_request_life
+from .attempt import Attempt, AttemptEnd
+from .body import RequestBody
+from .budgets import ColdLimit, RetryBudget
+from .config import Route
+from .dialect import CallerFacts, Dialect
+from .members import Members
+from .placement import Placed, Placement, Refused, Request
+from .upstreams import Upstream
+from .view import View
+
+NO_CONFIG_RETRY_S: Final = 0.5
+STOPPING_RETRY_S: Final = 0.1
+# Tries without a connection that one request may make.
+MAX_UNREACHABLE: Final = 3
+SERVER_ERROR: Final = 500
+# Answers on time are logged one in this many.
+SUCCESS_SAMPLE: Final = 50
+
+
+class Gateway:
+    """Parts that the requests of one host share."""
+
+    __slots__ = (
+        "_numbers",
+        "_rng",
+        "budget",
+        "cold",
+        "dialect",
+        "in_flight",
+        "members",
+        "metrics",
+        "on_idle",
+        "placement",
+        "pool",
+        "reactor",
+        "refusing",
+        "view",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        view: View,
+        placement: Placement,
+        members: Members,
+        budget: RetryBudget,
+        cold: ColdLimit,
+        pool: ConnectionPool,
+        metrics: Metrics,
+        reactor: Any,
+        rng: random.Random,
+    ) -> None:
+        self.dialect = dialect
+        self.view = view
+        self.placement = placement
+        self.members = members
+        self.budget = budget
+        self.cold = cold
+        self.pool = pool
+        self.metrics = metrics
+        self.reactor = reactor
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self.in_flight = 0
+        self.refusing = False  # the host takes no more requests
+        self.on_idle: Callable[[], None] | None = None
+
+    def handle(self, req: ServerRequest) -> None:
+        """Handle a request of a caller."""
+        self.in_flight += 1
+        forwarding = Forwarding(self, req)
+        done = Deferred.fromCoroutine(forwarding.run())
+        done.addErrback(forwarding.note_bug)
+        done.addBoth(self._end)
+
+    def _end(self, _result: object) -> None:
+        self.in_flight -= 1
+        if self.in_flight == 0 and self.on_idle is not None:
+            self.on_idle()
+
+    def next_number(self) -> int:
+        """Return a number for one try."""
+        return next(self._numbers)
+
+    def samples_success(self) -> bool:
+        """Tell whether this good answer is logged."""
+        return self._rng.random() * SUCCESS_SAMPLE < 1.0
+
+
+class Forwarding:
+    """One request on its way."""
+
+    __slots__ = (
+        "_attempt",
+        "_attempts",
+        "_body",
+        "_caller",
+        "_deadline",
+        "_expired",
+        "_gateway",
+        "_last",
+        "_life",
+        "_req",
+        "_route",
+        "_service",
+        "_started",
+        "_unreachable",
+    )
+
+    def __init__(self, gateway: Gateway, req: ServerRequest) -> None:
+        self._gateway = gateway
+        self._req = req
+        self._started: float = gateway.reactor.seconds()
+        self._caller: CallerFacts = gateway.dialect.read_caller(req)
+        self._life = make_request_life()
+        self._route: Route | None = None
+        self._service = ""
+        self._deadline = 0.0
+        self._body = RequestBody(req)
+        self._attempt: Attempt | None = None
+        self._attempts = 0  # tries that reached an upstream
+        self._unreachable = 0  # tries without a connection
+        self._last: Attempt | None = None  # the last try that failed
+        self._expired = False
+
+    async def run(self) -> None:
+        """Handle the request up to its answer."""
+        if not self._find_route():
+            return
+        self._req.on_closed = self._note_caller_gone
+        timer = self._gateway.reactor.callLater(
+            max(0.0, self._deadline - self._started), self._expire
+        )
+        self._req.receive(self._body)
+        await self._body.ready
+        if self._body.failure is None and not self._over:
+            await self._send_until_answered()
+        if timer.active():
+            timer.cancel()
+
+    def note_bug(self, failure: Any) -> None:
+        """Answer after an unexpected error of this program."""
+        logger.opt(exception=failure.value).error(
+            "request failed unexpectedly",
+            event="bug",
+            request_id=self._caller.request_id,
+        )
+        if self._req.answered:
+            self._req.abort()
+        else:
+            self._fail(ErrorKind.INTERNAL_ERROR)
+
+    @property
+    def _over(self) -> bool:
+        """Tell whether nothing more is to be done for the request."""
+        return self._req.answered or self._req.closed
+
+    # Before the request is sent.
+
+    def _find_route(self) -> bool:
+        gateway = self._gateway
+        routes = gateway.view.routes
+        if routes is None:
+            self._refuse(ErrorKind.NO_MANIFEST, NO_CONFIG_RETRY_S, "no-config")
+            return False
+        if gateway.refusing:
+            self._refuse(ErrorKind.HOST_STOPPING, STOPPING_RETRY_S, "stopping")
+            return False
+        path = self._req.target.partition("?")[0]
+        route = routes.match(self._caller.host, path)
+        if route is None:
+            self._fail(ErrorKind.UNKNOWN_SERVICE)
+            return False
+        self._route = route
+        self._service = gateway.view.picker.pick(route)
+        gateway.budget.note_request(self._service, self._started)
+        limit_s = route.timeout_s
+        if self._caller.time_left_s is not None:
+            limit_s = min(limit_s, self._caller.time_left_s)
+        self._deadline = self._started + limit_s
+        return True
+
+    # The tries.
+
+    async def _send_until_answered(self) -> None:
+        route = self._route
+        assert route is not None
+        request = Request(
+            route,
+            self._service,
+            self._object_key(route),
+            self._started + route.objective_s,
+            self._deadline,
+        )
+        while not self._over:
+            now = self._gateway.reactor.seconds()
+            hosts = self._gateway.members.count()
+            choice = self._gateway.placement.choose(request, hosts, now)
+            if isinstance(choice, Refused):
+                self._give_up(choice)
+                return
+            await self._try_at(choice, request)
+            if self._over or not self._may_try_again(route):
+                break
+        if not self._over:
+            self._give_up(Refused("attempts-spent", STOPPING_RETRY_S * 2))
+
+    def _object_key(self, route: Route) -> str:
+        key = self._caller.object_key
+        return f"{route.name}/{key}" if key else self._req.target
+
+    async def _try_at(self, choice: Placed, request: Request) -> None:
+        gateway, route = self._gateway, self._route
+        assert route is not None
+        upstream = choice.upstream
+        request.tried.add(upstream.name)
+        attempt = Attempt(
+            gateway.dialect,
+            self._req,
+            self._caller.request_id,
+            upstream,
+            may_hold=route.idempotent,
+        )
+        self._attempt = attempt
+        number = gateway.next_number()
+        # Counted while the connection is opened, so that others go elsewhere.
+        upstream.note_sent(number, gateway.reactor.seconds())
+        try:
+            if await attempt.connect(gateway.pool, route.idempotent):
+                self._write(attempt)
+                await attempt.done
+        finally:
+            sent_at = upstream.note_end(number)
+        self._note_end(attempt, choice, sent_at)
+
+    def _write(self, attempt: Attempt) -> None:
+        gateway = self._gateway
+        now = gateway.reactor.seconds()
+        self._attempts += 1
+        if self._attempts > 1:
+            gateway.budget.note_repeat(self._service, now)
+            gateway.metrics.count_retry(self._service)
+        gateway.cold.note_sent(attempt.upstream.name, now)
+        self._life.begin_dispatch()
+        attempt.send(self._body, max(0.001, self._deadline - now))
+
+    def _note_end(
+        self, attempt: Attempt, choice: Placed, sent_at: float | None
+    ) -> None:
+        now = self._gateway.reactor.seconds()
+        upstream, end = attempt.upstream, attempt.end_kind
+        if attempt.facts.load is not None:
+            upstream.note_report(attempt.facts.load, now)
+        elapsed_s = now - (sent_at if sent_at is not None else now)
+        if end is AttemptEnd.ANSWERED or end is AttemptEnd.STREAMED:
+            self._life.answer()
+            self._note_answer(attempt, upstream, elapsed_s, choice.queued, now)
+            return
+        self._last = attempt
+        if end is AttemptEnd.NOT_RUN:
+            self._life.refuse()
+            if attempt.facts.other_upstream:
+                self._gateway.view.book.remove(upstream.name, now)
+            else:
+                upstream.note_refusal(now)
+        elif end is AttemptEnd.LOST:
+            self._life.lose()
+            upstream.note_failure(now)
+            broken = attempt.error is ErrorKind.UPSTREAM_BROKEN
+            if broken and not attempt.reused_connection:
+                upstream.note_unreachable(now)
+        elif end is AttemptEnd.NOT_SENT:
+            self._unreachable += 1
+            upstream.note_unreachable(now)
+        elif attempt.sent:
+            self._life.lose()
+        if end is not AttemptEnd.CANCELLED:
+            self._log_try(attempt, choice, elapsed_s)
+
+    def _note_answer(
+        self,
+        attempt: Attempt,
+        upstream: Upstream,
+        elapsed_s: float,
+        queued: bool,
+        now: float,
+    ) -> None:
+        head, route = attempt.head_seen, self._route
+        assert head is not None
+        assert route is not None
+        if head.status >= SERVER_ERROR:
+            upstream.note_failure(now)
+            if route.idempotent and attempt.end_kind is AttemptEnd.ANSWERED:
+                self._last = attempt
+                if self._may_try_again(route):
+                    return
+        else:
+            upstream.note_answer(elapsed_s, queued, now)
+            upstream.note_object(self._object_key(route))
+        self._answer(attempt)
+
+    def _may_try_again(self, route: Route) -> bool:
+        """Tell whether the request may be sent once more."""
+        gateway = self._gateway
+        if self._body.streamed or self._unreachable > MAX_UNREACHABLE:
+            return False
+        if self._attempts == 0:
+            return True
+        if self._attempts >= route.max_attempts:
+            return False
+        if not route.idempotent and self._life.outcome() is not Outcome.DID_NOT_RUN:
+            return False
+        now = gateway.reactor.seconds()
+        return gateway.budget.allows(self._service, gateway.members.count(), now)
+
+    # Ends.
+
+    def _answer(self, attempt: Attempt) -> None:
+        head = attempt.head_seen
+        assert head is not None
+        now = self._gateway.reactor.seconds()
+        if attempt.end_kind is AttemptEnd.ANSWERED and not self._over:
+            headers = [
+                item
+                for item in end_to_end(head.headers)
+                if item[0] != b"content-length"
+            ]
+            length = head.header.get(b"content-length")
+            is_head = self._req.method == "HEAD"
+            self._req.respond(
+                head.status, headers, attempt.body, length if is_head else None
+            )
+        elapsed_s = now - self._started
+        metrics = self._gateway.metrics
+        metrics.count_request(self._service, Outcome.DONE, elapsed_s)
+        if head.status >= SERVER_ERROR or self._gateway.samples_success():
+            logger.info(
+                "request answered",
+                event="answered",
+                request_id=self._caller.request_id,
+                service=self._service,
+                upstream=attempt.upstream.name,
+                status=head.status,
+                attempts=self._attempts,
+                elapsed_ms=round(elapsed_s * 1000),
+            )
+
+    def _give_up(self, refused: Refused) -> None:
+        """Give the final answer where no further try is made."""
+        last = self._last
+        if last is not None and last.end_kind is AttemptEnd.ANSWERED:
+            self._answer(last)  # the upstream's own failure
+        elif self._life.outcome() is Outcome.DID_NOT_RUN:
+            kind = ErrorKind.CAP_REACHED
+            if refused.reason == "no-upstream":
+                kind = ErrorKind.NO_UPSTREAM
+            elif last is not None and last.end_kind is AttemptEnd.NOT_RUN:
+                kind = ErrorKind.UPSTREAM_REFUSED
+            self._refuse(kind, refused.retry_after_s, refused.reason)
+        else:
+            error = last.error if last is not None else None
+            self._fail(error or ErrorKind.UPSTREAM_BROKEN)
+
+    def _expire(self) -> None:
+        """End the request at its deadline."""
+        if self._over:
+            return
+        self._expired = True
+        sent = self._life.outcome() is not Outcome.DID_NOT_RUN
+        attempt = self._attempt
+        if attempt is not None:
+            if attempt.streaming:
+                return  # the answer arrives already
+            attempt.upstream.note_failure(self._gateway.reactor.seconds())
+        if sent:
+            self._fail(ErrorKind.UPSTREAM_TIMEOUT)
+        else:
+            self._refuse(ErrorKind.DEADLINE_PASSED, STOPPING_RETRY_S, "deadline")
+        if attempt is not None:
+            attempt.cancel()
+
+    def _note_caller_gone(self) -> None:
+        attempt, route = self._attempt, self._route
+        if attempt is None or self._req.finished:
+            return
+        # Work that may not be repeated is let finish: its outcome counts.
+        finishes = attempt.sent and not (self._body.streamed and not self._body.ended)
+        if route is None or route.idempotent or not finishes:
+            attempt.cancel()
+
+    def _refuse(self, kind: ErrorKind, retry_after_s: float, reason: str) -> None:
+        """Tell the caller that the request did not run and when to come back."""
+        if self._over:
+            return
+        self._gateway.metrics.count_refusal(kind)
+        headers = [
+            (b"Error-Kind", kind.value.encode()),
+            (b"Request-Outcome", Outcome.DID_NOT_RUN.value.encode()),
+            (b"Retry-After", f"{retry_after_s:.2f}".encode()),
+        ]
+        self._log_failure(kind, Outcome.DID_NOT_RUN, reason, retry_after_s)
+        self._req.respond(503, headers, ANSWERS[kind].text.encode())
+
+    def _fail(self, kind: ErrorKind) -> None:
+        """Answer with a failure that promises nothing, or refers to the request."""
+        if self._over:
+            return
+        may_have_run = self._life.outcome() is not Outcome.DID_NOT_RUN
+        outcome = outcome_after(kind, may_have_run)
+        self._gateway.metrics.count_refusal(kind)
+        headers = [
+            (b"Error-Kind", kind.value.encode()),
+            (b"Request-Outcome", outcome.value.encode()),
+        ]
+        self._log_failure(kind, outcome, kind.value, None)
+        self._req.respond(ANSWERS[kind].status, headers, ANSWERS[kind].text.encode())
+
+    # Logs.
+
+    def _log_try(self, attempt: Attempt, choice: Placed, elapsed_s: float) -> None:
+        end, head = attempt.end_kind, attempt.head_seen
+        logger.info(
+            "try failed",
+            event="try_failed",
+            request_id=self._caller.request_id,
+            service=self._service,
+            upstream=attempt.upstream.name,
+            rank=choice.rank,
+            end=end.value if end is not None else "",
+            error=attempt.error.value if attempt.error is not None else "",
+            status=head.status if head is not None else 0,
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+
+    def _log_failure(
+        self,
+        kind: ErrorKind,
+        outcome: Outcome,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> None:
+        gateway = self._gateway
+        config = gateway.view.config
+        logger.info(
+            "request not answered by an upstream",
+            event="request_failed",
+            request_id=self._caller.request_id,
+            route=self._route.name if self._route is not None else "",
+            service=self._service,
+            kind=kind.value,
+            outcome=outcome.value,
+            reason=reason,
+            attempts=self._attempts,
+            retry_after_s=retry_after_s,
+            elapsed_ms=round((gateway.reactor.seconds() - self._started) * 1000),
+            config_version=config.version if config is not None else 0,
+        )
--- /dev/null
+++ b/samphirebend/gateway/front.py
@@ -0,0 +1,102 @@
+"""Listeners of a gateway host: callers' requests, look-ups and readiness checks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+
+from ..addresses import Address
+from ..httpserver import HttpServer, ServerRequest
+from .config import CallerLimits
+from .dialect import Dialect
+from .forward import Gateway
+from .members import Members
+from .view import View
+
+LOOKUP_TTL_S: Final = 1
+MAX_PIPELINED: Final = 16
+_JSON: Final = (b"Content-Type", b"application/json")
+
+
+class Front:
+    """Serves all that callers and the operator's checks ask of this host."""
+
+    __slots__ = (
+        "_clock",
+        "_dialect",
+        "_members",
+        "_reactor",
+        "_ttl_s",
+        "_view",
+        "gateway",
+        "listeners",
+        "requests",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        gateway: Gateway,
+        view: View,
+        members: Members,
+        ttl_max_s: float,
+        reactor: Any,
+        clock: Callable[[], float],
+    ) -> None:
+        self._dialect = dialect
+        self._view = view
+        self._members = members
+        self._reactor = reactor
+        self._clock = clock
+        self._ttl_s = min(LOOKUP_TTL_S, ttl_max_s)
+        self.gateway = gateway
+        self.requests = HttpServer(self._handle, MAX_PIPELINED)
+        self.listeners: list[tuple[HttpServer, Address]] = []
+        view.limits_listeners.append(self._apply_limits)
+
+    def add_listener(self, address: Address | None, callers: bool) -> None:
+        """Add an address; `callers` tells whether requests come there."""
+        if address is not None:
+            server = self.requests if callers else HttpServer(self._handle_own)
+            self.listeners.append((server, address))
+
+    def start(self) -> None:
+        """Begin to listen."""
+        for server, address in self.listeners:
+            server.listen(self._reactor, address)
+
+    async def stop(self) -> None:
+        """Stop to listen and reset what is still open."""
+        for server, _address in self.listeners:
+            await server.close_port()
+            server.abort_all()
+
+    def _handle(self, req: ServerRequest) -> None:
+        self.gateway.handle(req)
+
+    def _handle_own(self, req: ServerRequest) -> None:
+        lookup = self._dialect.read_lookup(req)
+        if lookup is not None:
+            self._answer_lookup(req, lookup.name, lookup.region)
+        elif self._dialect.is_ready_check(req):
+            req.respond(200 if self._members.own.ready else 503, [], b"")
+        else:
+            req.respond(404, [], b"")
+
+    def _answer_lookup(self, req: ServerRequest, name: str, region: str) -> None:
+        routes = self._view.routes
+        homes = routes.home_regions(name) if routes is not None else frozenset()
+        addresses = self._members.addresses(region, homes, self._clock())
+        if not addresses:
+            req.respond(503, [(b"Retry-After", b"0.5")], b"")
+            return
+        fields = self._dialect.lookup_fields(
+            [str(address) for address in addresses], self._ttl_s
+        )
+        req.respond(200, [_JSON], msgspec.json.encode(fields))
+
+    def _apply_limits(self, limits: CallerLimits) -> None:
+        self.requests.idle_timeout_s = limits.idle_timeout_s
+        self.requests.header_timeout_s = limits.header_timeout_s
--- /dev/null
+++ b/samphirebend/gateway/members.py
@@ -0,0 +1,107 @@
+"""The other hosts, as their heartbeats show them, and whom callers are sent to."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from ..addresses import Address
+
+LIVE_S: Final = 1.6  # silence after which callers are sent elsewhere
+FORGET_S: Final = 60.0
+# Hosts assumed before the others are known, so that shares of limits stay small.
+UNKNOWN_HOSTS: Final = 8
+MAX_ADDRESSES: Final = 64
+
+
+class Member:
+    """One host; times are this host's monotonic clock in seconds."""
+
+    __slots__ = (
+        "front",
+        "heard_at",
+        "host",
+        "incarnation",
+        "news",
+        "peer",
+        "ready",
+        "region",
+        "sequence",
+        "zone",
+    )
+
+    def __init__(self, host: str, zone: str, region: str) -> None:
+        self.host = host
+        self.zone = zone  # failure domain
+        self.region = region
+        self.front = Address("0.0.0.0", 1)  # where callers connect
+        self.peer = Address("0.0.0.0", 1)  # where hosts talk to each other
+        self.incarnation = 0
+        self.sequence = 0
+        self.ready = False
+        self.heard_at = 0.0  # 0: not yet
+        self.news: dict[str, int] = {}  # newest row that it knows, by table
+
+
+class Members:
+    """All known hosts and this one."""
+
+    __slots__ = ("_others", "_rng", "listed", "own")
+
+    def __init__(self, own: Member, rng: random.Random) -> None:
+        self.own = own
+        self._rng = rng
+        self._others: dict[str, Member] = {}
+        self.listed = False  # the list of hosts was read
+
+    def note_listed(self, member: Member) -> None:
+        """Take a host from a list; it is not live before it is heard."""
+        if member.host != self.own.host:
+            self._others.setdefault(member.host, member)
+
+    def note_heartbeat(self, heard: Member, now: float) -> bool:
+        """Take a heartbeat; return whether it is newer than what is known."""
+        if heard.host == self.own.host:
+            return False
+        known = self._others.get(heard.host)
+        same_start = known is not None and known.incarnation == heard.incarnation
+        if known is not None and same_start and heard.sequence <= known.sequence:
+            return False
+        heard.heard_at = now
+        self._others[heard.host] = heard
+        return True
+
+    def others(self) -> list[Member]:
+        """Return all other hosts."""
+        return list(self._others.values())
+
+    def live(self, now: float) -> list[Member]:
+        """Return the other hosts that were heard lately."""
+        return [item for item in self._others.values() if now - item.heard_at < LIVE_S]
+
+    def count(self) -> int:
+        """Return the number of hosts that may use shares of limits."""
+        known = len(self._others) + 1
+        return known if self.listed else max(known, UNKNOWN_HOSTS)
+
+    def forget_silent(self, now: float) -> None:
+        """Drop hosts that have been silent for long."""
+        for host, item in list(self._others.items()):
+            if item.heard_at and now - item.heard_at > FORGET_S:
+                del self._others[host]
+
+    def addresses(
+        self, region: str, homes: frozenset[str], now: float
+    ) -> list[Address]:
+        """Return where callers of a region may connect, best hosts only.
+
+        Hosts of the caller's region come before those of `homes`, which are the
+        regions that may handle the requests; empty: any.
+        """
+        ready = [item for item in (self.own, *self.live(now)) if item.ready]
+        near = [item for item in ready if item.region == region]
+        if not near and homes:
+            near = [item for item in ready if item.region in homes]
+        chosen = near or ready
+        self._rng.shuffle(chosen)
+        return [item.front for item in chosen[:MAX_ADDRESSES]]
--- /dev/null
+++ b/samphirebend/gateway/peers.py
@@ -0,0 +1,275 @@
+"""Traffic between hosts: heartbeats over UDP, rows of the replica over HTTP.
+
+A heartbeat tells who is there and how new the sender's rows are. A host that hears
+of newer rows than it has, and does not get them from the store, asks that peer.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import msgspec
+from loguru import logger
+from result import Err
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import DatagramProtocol
+
+from ..addresses import Address, parse_address
+from ..httpcall import call
+from ..httpclient import ConnectionPool
+from ..httpserver import HttpServer, ServerRequest
+from .follower import Follower
+from .members import Member, Members
+from .replica import Row
+
+HEARTBEAT_S: Final = 0.5
+# Heartbeats to hosts that have not answered are sent one time in this many.
+SILENT_PERIOD: Final = 4
+NOTIFY_DELAY_S: Final = 0.02
+# Time for which the store may still bring what a peer knows already.
+FETCH_DELAY_S: Final = 0.25
+FETCH_TIMEOUT_S: Final = 1.5
+ROWS_PATH: Final = "/rows"
+
+
+class Heartbeat(msgspec.Struct, array_like=True):
+    """What a host tells the others of itself."""
+
+    host: str
+    zone: str
+    region: str
+    front: str
+    peer: str
+    incarnation: int
+    sequence: int
+    ready: bool
+    news: dict[str, int]  # newest row that it knows, by table
+
+
+class SentRow(msgspec.Struct, array_like=True):
+    """One row of the replica between hosts."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+class SentRows(msgspec.Struct, array_like=True):
+    """Rows that complete a table up to a version."""
+
+    rows: list[SentRow]
+    version: int
+
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_heartbeats: Final = msgspec.msgpack.Decoder(Heartbeat)
+_rows: Final = msgspec.msgpack.Decoder(SentRows)
+
+
+class Peers(DatagramProtocol):
+    """Sends and takes heartbeats, and gives and fetches rows."""
+
+    def __init__(
+        self,
+        members: Members,
+        follower: Follower,
+        seeds: Iterable[Address],
+        pool: ConnectionPool,
+        reactor: Any,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._members = members
+        self._follower = follower
+        self._seeds = list(seeds)
+        self._pool = pool
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._server = HttpServer(self._give_rows)
+        self._port: Any = None
+        self._timer: Any = None
+        self._notice: Any = None
+        self._round = 0
+        self._fetching: set[str] = set()  # tables
+        self._heard: set[str] = set()  # hosts that were live at the last round
+
+    def start(self) -> None:
+        """Begin to listen and to send heartbeats."""
+        own = self._members.own.peer
+        self._port = self._reactor.listenUDP(own.port, self, interface=own.ip)
+        self._server.listen(self._reactor, own)
+        self._beat()
+
+    async def stop(self) -> None:
+        """Stop to send and to listen."""
+        for timer in (self._timer, self._notice):
+            if timer is not None and timer.active():
+                timer.cancel()
+        if self._port is not None:
+            await self._port.stopListening()
+        await self._server.close_port()
+        self._server.abort_all()
+
+    def notify(self) -> None:
+        """Send a heartbeat soon, because something changed."""
+        if self._notice is None or not self._notice.active():
+            self._notice = self._reactor.callLater(NOTIFY_DELAY_S, self._send_all)
+
+    def notify_all(self) -> None:
+        """Send a heartbeat to all hosts soon, also to those not heard yet."""
+        self._round = 0
+        self.notify()
+
+    # Heartbeats.
+
+    def _beat(self) -> None:
+        self._timer = self._reactor.callLater(
+            HEARTBEAT_S * self._rng.uniform(0.9, 1.1), self._beat
+        )
+        self._round += 1
+        self._send_all()
+        now = self._clock()
+        self._members.forget_silent(now)
+        self._note_live(now)
+        for table in self._follower.replica.versions():
+            self._fetch_if_behind(table)
+
+    def _note_live(self, now: float) -> None:
+        live = {member.host for member in self._members.live(now)}
+        for host in live - self._heard:
+            logger.info("peer heard", event="peer_regained", peer=host)
+        for host in self._heard - live:
+            logger.warning("peer silent", event="peer_lost", peer=host)
+        self._heard = live
+
+    def _send_all(self) -> None:
+        own = self._members.own
+        own.sequence += 1
+        own.news = self._follower.replica.newest_all()
+        data = _encoder.encode(
+            Heartbeat(
+                own.host,
+                own.zone,
+                own.region,
+                str(own.front),
+                str(own.peer),
+                own.incarnation,
+                own.sequence,
+                own.ready,
+                own.news,
+            )
+        )
+        live = {member.host for member in self._members.live(self._clock())}
+        all_round = self._round % SILENT_PERIOD == 0
+        for member in self._members.others():
+            if all_round or member.host in live:
+                self._write(data, member.peer)
+        if all_round:
+            known = {member.peer for member in self._members.others()}
+            for seed in self._seeds:
+                if seed not in known and seed != own.peer:
+                    self._write(data, seed)
+
+    def _write(self, data: bytes, address: Address) -> None:
+        if self.transport is None:
+            return
+        try:
+            self.transport.write(data, (address.ip, address.port))
+        except OSError as exc:
+            # The next heartbeat makes up for one that could not be sent.
+            logger.debug("heartbeat not sent: {}", exc)
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+        try:
+            heartbeat = _heartbeats.decode(datagram)
+        except msgspec.DecodeError as exc:
+            logger.warning("heartbeat ignored: {}", exc, event="heartbeat_ignored")
+            return
+        front, peer = parse_address(heartbeat.front), parse_address(heartbeat.peer)
+        if front is None or peer is None:
+            logger.warning("heartbeat without address", event="heartbeat_ignored")
+            return
+        member = Member(heartbeat.host, heartbeat.zone, heartbeat.region)
+        member.front, member.peer = front, peer
+        member.incarnation = heartbeat.incarnation
+        member.sequence = heartbeat.sequence
+        member.ready = heartbeat.ready
+        member.news = heartbeat.news
+        was_live = member.host in {
+            item.host for item in self._members.live(self._clock())
+        }
+        if self._members.note_heartbeat(member, self._clock()):
+            if not was_live:
+                self.notify()
+            for table in self._follower.replica.versions():
+                if self._is_behind(table):
+                    self._reactor.callLater(FETCH_DELAY_S, self._fetch_if_behind, table)
+
+    # Rows.
+
+    def _is_behind(self, table: str) -> bool:
+        return self._newer_peer(table) is not None
+
+    def _newer_peer(self, table: str) -> Member | None:
+        own = self._follower.replica.newest(table)
+        newer = [
+            member
+            for member in self._members.live(self._clock())
+            if member.news.get(table, 0) > own
+        ]
+        return self._rng.choice(newer) if newer else None
+
+    def _fetch_if_behind(self, table: str) -> None:
+        member = self._newer_peer(table)
+        if member is None or table in self._fetching:
+            return
+        self._fetching.add(table)
+        done = Deferred.fromCoroutine(self._fetch(table, member))
+        done.addErrback(self._note_bug, table)
+        done.addBoth(lambda _result: self._fetching.discard(table))
+
+    async def _fetch(self, table: str, member: Member) -> None:
+        after = self._follower.replica.version(table)
+        path = f"{ROWS_PATH}?table={table}&after={after}"
+        called = await call(
+            self._pool, self._reactor, member.peer, "GET", path, b"", FETCH_TIMEOUT_S
+        )
+        if isinstance(called, Err) or called.ok_value[0] != 200:
+            logger.info("rows not fetched", event="rows_not_fetched", peer=member.host)
+            return
+        sent = _rows.decode(called.ok_value[1])
+        rows = [Row(table, row.key, row.value, row.version) for row in sent.rows]
+        changed = self._follower.replica.merge(table, rows, sent.version)
+        logger.info(
+            "rows fetched from a peer",
+            event="rows_fetched",
+            peer=member.host,
+            table=table,
+            after=after,
+            version=sent.version,
+            changed=len(changed),
+        )
+        self._follower.take(table, changed)
+
+    def _give_rows(self, req: ServerRequest) -> None:
+        path, _, query = req.target.partition("?")
+        fields = dict(part.partition("=")[::2] for part in query.split("&"))
+        table, after = fields.get("table", ""), fields.get("after", "")
+        replica = self._follower.replica
+        if path != ROWS_PATH or table not in replica.versions() or not after.isdigit():
+            req.respond(404, [], b"")
+            return
+        rows = [
+            SentRow(row.key, row.value, row.version)
+            for row in replica.since(table, int(after))
+        ]
+        answer = SentRows(rows, replica.version(table))
+        req.respond(200, [], _encoder.encode(answer))
+
+    def _note_bug(self, failure: Any, table: str) -> None:
+        logger.opt(exception=failure.value).error(
+            "fetching rows failed", event="bug", table=table
+        )
--- /dev/null
+++ b/samphirebend/gateway/replica.py
@@ -0,0 +1,90 @@
+"""Copy of the store's rows on a host, merged from the store and from peers.
+
+Every row carries the version that the store gave it, from one counter that only
+grows. A newer row replaces an older one, whoever brought it, and never the other
+way round; a removed row stays as a tombstone, so that a late copy of it cannot
+return. A host can thus take news from any source in any order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+MAX_TOMBSTONES: Final = 2000
+
+
+class Row:
+    """One row of the store; `value` is None for a removed row."""
+
+    __slots__ = ("key", "table", "value", "version")
+
+    def __init__(self, table: str, key: str, value: bytes | None, version: int) -> None:
+        self.table = table
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Replica:
+    """Newest known rows of some tables."""
+
+    __slots__ = ("_complete", "_rows")
+
+    def __init__(self, tables: Iterable[str]) -> None:
+        self._rows: dict[str, dict[str, Row]] = {table: {} for table in tables}
+        # Version up to which all changes of a table are known.
+        self._complete: dict[str, int] = dict.fromkeys(self._rows, 0)
+
+    def version(self, table: str) -> int:
+        """Return the version up to which a table is known; 0: nothing is."""
+        return self._complete[table]
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each table."""
+        return dict(self._complete)
+
+    def newest(self, table: str) -> int:
+        """Return the version of the newest row of a table; 0: there is none."""
+        rows = self._rows[table].values()
+        return max((row.version for row in rows), default=0)
+
+    def newest_all(self) -> dict[str, int]:
+        """Return the version of the newest row of each table."""
+        return {table: self.newest(table) for table in self._rows}
+
+    def merge(self, table: str, rows: Iterable[Row], complete: int) -> list[Row]:
+        """Take rows that complete the table up to a version; return what changed."""
+        known = self._rows[table]
+        changed = []
+        for row in rows:
+            old = known.get(row.key)
+            if old is None or old.version < row.version:
+                known[row.key] = row
+                changed.append(row)
+        self._complete[table] = max(self._complete[table], complete)
+        self._forget_tombstones(table)
+        return changed
+
+    def replace(self, table: str, rows: Iterable[Row], version: int) -> list[Row]:
+        """Take the whole table as of a version; return what changed."""
+        taken = list(rows)
+        present = {row.key for row in taken}
+        for key, old in self._rows[table].items():
+            if key not in present and old.value is not None and old.version <= version:
+                taken.append(Row(table, key, None, version))
+        return self.merge(table, taken, version)
+
+    def since(self, table: str, version: int) -> list[Row]:
+        """Return the rows newer than a version, oldest first."""
+        newer = [row for row in self._rows[table].values() if row.version > version]
+        return sorted(newer, key=lambda row: row.version)
+
+    def _forget_tombstones(self, table: str) -> None:
+        known = self._rows[table]
+        if len(known) <= MAX_TOMBSTONES:
+            return
+        removed = [row for row in known.values() if row.value is None]
+        removed.sort(key=lambda row: row.version)
+        for row in removed[: len(removed) // 2]:
+            del known[row.key]
--- /dev/null
+++ b/samphirebend/gateway/routes.py
@@ -0,0 +1,74 @@
+"""Selects the route of a request and the service that it goes to."""
+
+from __future__ import annotations
+
+from .config import Backend, Config, Route
+
+
+class RouteTable:
+    """Routes of one configuration by host, longest prefix first."""
+
+    __slots__ = ("_by_host", "version")
+
+    def __init__(self, config: Config) -> None:
+        self.version = config.version
+        self._by_host: dict[str, list[Route]] = {}
+        for route in config.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def home_regions(self, host: str) -> frozenset[str]:
+        """Return the regions that all routes of a host allow; empty: any."""
+        homes: frozenset[str] = frozenset()
+        for route in self._by_host.get(host, ()):
+            if not route.home_regions:
+                return frozenset()
+            homes = homes & route.home_regions if homes else route.home_regions
+        return homes
+
+
+class BackendPicker:
+    """Distributes the requests of a route by weight, evenly over time."""
+
+    __slots__ = ("_credit",)
+
+    def __init__(self) -> None:
+        self._credit: dict[tuple[str, str], float] = {}  # by route and service
+
+    def pick(self, route: Route) -> str:
+        """Return the service of the next request (smooth weighted round robin).
+
+        >>> from .config import RequestKind
+        >>> route = Route("r", "h", "/", RequestKind.IDEMPOTENT)
+        >>> route.backends = [Backend("a", 2), Backend("b", 1)]
+        >>> picker = BackendPicker()
+        >>> [picker.pick(route) for _ in range(6)]
+        ['a', 'b', 'a', 'a', 'b', 'a']
+        """
+        backends = route.backends
+        if len(backends) == 1:
+            return backends[0].service
+        total = sum(backend.weight for backend in backends)
+        best: Backend | None = None
+        best_credit = 0.0
+        for backend in backends:
+            key = (route.name, backend.service)
+            credit = self._credit.get(key, 0.0) + backend.weight
+            self._credit[key] = credit
+            if best is None or credit > best_credit:
+                best, best_credit = backend, credit
+        assert best is not None
+        self._credit[(route.name, best.service)] -= total
+        return best.service
+
+    def clear(self) -> None:
+        """Forget the past, as after a change of weights."""
+        self._credit.clear()
--- /dev/null
+++ b/samphirebend/gateway/upstreams.py
@@ -0,0 +1,280 @@
+"""What a host knows of each upstream: its entry, its load and its health."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from enum import Enum, unique
+from typing import Final
+
+from .config import UpstreamEntry
+
+# Age at which a load report says little about the present.
+REPORT_FADES_S: Final = 0.4
+AVERAGE_WEIGHT: Final = 0.2  # of a new sample in a moving average
+FIRST_SERVICE_S: Final = 0.3  # expected time of a request before any was seen
+CONNECT_BACKOFF_S: Final = 0.5
+MAX_BACKOFF_S: Final = 4.0
+FAULTY_SHARE: Final = 0.3  # of failed answers, above which an upstream is doubtful
+SLOW_FACTOR: Final = 3.0  # times the usual time of its service
+SILENT_FACTOR: Final = 5.0
+MIN_SILENCE_S: Final = 1.0
+TRIAL_INTERVAL_S: Final = 1.0
+# Objects remembered as handled by one upstream.
+MAX_WARM_OBJECTS: Final = 64
+
+
+@unique
+class Health(Enum):
+    """How far an upstream may be trusted with new work."""
+
+    GOOD = "good"
+    DOUBTFUL = "doubtful"  # gets single requests, to see whether it recovered
+    DOWN = "down"
+
+
+class Upstream:
+    """One upstream and what this host has seen of it."""
+
+    __slots__ = (
+        "_average_others",
+        "_down_until",
+        "_last_answer_at",
+        "_next_trial_at",
+        "_others",
+        "_reported_at",
+        "_sent_at",
+        "cold_until",
+        "connect_failures",
+        "entry",
+        "faulty",
+        "gone_at",
+        "in_flight",
+        "region",
+        "service_s",
+        "warm",
+    )
+
+    def __init__(self, entry: UpstreamEntry, region: str) -> None:
+        self.entry = entry
+        self.region = region
+        self.in_flight = 0  # requests of this host
+        self.cold_until = 0.0
+        self.gone_at: float | None = None  # when its entry was removed
+        self.connect_failures = 0  # in a row
+        self.faulty = 0.0  # moving average: 1 for a failed answer, 0 for a good one
+        self.service_s = 0.0  # moving average of the time of an answer; 0: none yet
+        self.warm: OrderedDict[str, None] = OrderedDict()  # objects, oldest first
+        self._others = 0.0  # requests of other hosts, as of the last report
+        self._average_others = 0.0
+        self._reported_at = 0.0
+        self._down_until = 0.0
+        self._next_trial_at = 0.0
+        self._last_answer_at = 0.0
+        self._sent_at: dict[int, float] = {}  # requests in flight, by number
+
+    @property
+    def name(self) -> str:
+        """Return the id of this start of the upstream."""
+        return self.entry.upstream
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests it runs at a time."""
+        return self.entry.slots
+
+    def load(self, now: float) -> float:
+        """Return the requests that run or wait there, as far as is known."""
+        age_s = now - self._reported_at
+        fresh = max(0.0, 1.0 - age_s / REPORT_FADES_S)
+        others = fresh * self._others + (1.0 - fresh) * self._average_others
+        return self.in_flight + others
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it must not get many requests."""
+        return now < self.cold_until
+
+    def expected_s(self, usual_s: float) -> float:
+        """Return the expected time of one request without a queue, in seconds."""
+        return self.service_s or usual_s or FIRST_SERVICE_S
+
+    def wait_s(self, usual_s: float, now: float) -> float:
+        """Return the expected time in its queue, in seconds."""
+        ahead = self.load(now) - self.slots + 1
+        if ahead <= 0:
+            return 0.0
+        return ahead * self.expected_s(usual_s) / max(1, self.slots)
+
+    # What happened to requests.
+
+    def note_sent(self, number: int, now: float) -> None:
+        """Record a request in flight."""
+        self.in_flight += 1
+        self._sent_at[number] = now
+
+    def note_end(self, number: int) -> float | None:
+        """Record that a request is no longer in flight; return when it was sent."""
+        sent_at = self._sent_at.pop(number, None)
+        if sent_at is not None:
+            self.in_flight -= 1
+        return sent_at
+
+    def note_answer(self, elapsed_s: float, queued: bool, now: float) -> None:
+        """Record a good answer and its time in seconds."""
+        self._last_answer_at = now
+        self.connect_failures = 0
+        self._down_until = 0.0
+        self.faulty *= 1.0 - AVERAGE_WEIGHT
+        if not queued:
+            self.service_s = _average(self.service_s, elapsed_s)
+
+    def note_failure(self, now: float) -> None:
+        """Record a failed answer, or one that never came."""
+        self.faulty = self.faulty * (1.0 - AVERAGE_WEIGHT) + AVERAGE_WEIGHT
+        self._next_trial_at = now + TRIAL_INTERVAL_S
+
+    def note_refusal(self, now: float) -> None:
+        """Record that it refused a request; one with free slots is doubtful."""
+        if self.load(now) < self.slots:
+            self.note_failure(now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Record that no connection could be made, or that all were reset."""
+        self.connect_failures += 1
+        backoff_s = CONNECT_BACKOFF_S * 2 ** min(3, self.connect_failures - 1)
+        self._down_until = now + min(MAX_BACKOFF_S, backoff_s)
+
+    def note_report(self, total: float, now: float) -> None:
+        """Take the load that it reported: requests that run or wait there."""
+        others = max(0.0, total - self.in_flight)
+        self._others = others
+        weight = AVERAGE_WEIGHT
+        self._average_others += weight * (others - self._average_others)
+        self._reported_at = now
+
+    def note_object(self, key: str) -> None:
+        """Remember that it has handled an object."""
+        self.warm[key] = None
+        self.warm.move_to_end(key)
+        if len(self.warm) > MAX_WARM_OBJECTS:
+            self.warm.popitem(last=False)
+
+    def health(self, usual_s: float, now: float) -> Health:
+        """Return how far it may be trusted now."""
+        if now < self._down_until:
+            return Health.DOWN
+        if self.connect_failures or self.faulty > FAULTY_SHARE:
+            return Health.DOUBTFUL
+        if usual_s and self.service_s > SLOW_FACTOR * usual_s:
+            return Health.DOUBTFUL
+        return Health.DOUBTFUL if self._is_silent(usual_s, now) else Health.GOOD
+
+    def _is_silent(self, usual_s: float, now: float) -> bool:
+        if not self._sent_at:
+            return False
+        limit_s = max(MIN_SILENCE_S, SILENT_FACTOR * (self.service_s or usual_s))
+        oldest = next(iter(self._sent_at.values()))
+        return now - max(oldest, self._last_answer_at) > limit_s
+
+    def takes_trial(self, now: float) -> bool:
+        """Tell whether a doubtful upstream may get one request, and note it."""
+        if self.in_flight or now < self._next_trial_at:
+            return False
+        self._next_trial_at = now + TRIAL_INTERVAL_S
+        return True
+
+
+def _average(old: float, sample: float) -> float:
+    """Return a moving average that begins with its first sample."""
+    return sample if not old else old + AVERAGE_WEIGHT * (sample - old)
+
+
+class UpstreamBook:
+    """All known upstreams, by service and by id."""
+
+    __slots__ = ("_all", "_by_service", "_regions", "evacuated", "generation")
+
+    def __init__(self, regions: dict[str, str]) -> None:
+        self._regions = regions  # failure domain to region
+        self._all: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self.evacuated: set[str] = set()  # failure domains that get nothing
+        self.generation = 0  # changes with the set of usable upstreams
+
+    def get(self, name: str) -> Upstream | None:
+        """Return an upstream by its id, or None."""
+        return self._all.get(name)
+
+    def all(self) -> Iterable[Upstream]:
+        """Return all upstreams."""
+        return self._all.values()
+
+    def put(self, entry: UpstreamEntry, cold_s: float, now: float) -> None:
+        """Take an entry; `cold_s` is how long a start of its service is cold."""
+        self.generation += 1
+        known = self._all.get(entry.upstream)
+        if known is not None and known.entry.born_ms == entry.born_ms:
+            known.entry = entry
+            known.gone_at = None
+            if entry.cold_left_s > 0:
+                known.cold_until = now + max(entry.cold_left_s, cold_s)
+        else:
+            known = Upstream(entry, self._regions.get(entry.zone, ""))
+            if entry.cold_left_s > 0:
+                known.cold_until = now + max(entry.cold_left_s, cold_s)
+            self._all[entry.upstream] = known
+        self._index()
+
+    def remove(self, name: str, now: float) -> None:
+        """Note that an entry is gone."""
+        upstream = self._all.get(name)
+        if upstream is not None and upstream.gone_at is None:
+            upstream.gone_at = now
+            self.generation += 1
+            self._index()
+
+    def evacuate(self, zone: str, active: bool, cold_s: float, now: float) -> None:
+        """Note that a failure domain is evacuated or taken back."""
+        self.generation += 1
+        if active:
+            self.evacuated.add(zone)
+        elif zone in self.evacuated:
+            self.evacuated.discard(zone)
+            for upstream in self._all.values():
+                if upstream.entry.zone == zone:
+                    upstream.cold_until = max(upstream.cold_until, now + cold_s)
+                    upstream.warm.clear()
+        self._index()
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new requests."""
+        return self._by_service.get(service, [])
+
+    def forget_gone(self, before: float) -> list[str]:
+        """Drop upstreams that were gone before a time; return their ids."""
+        old = [
+            name
+            for name, item in self._all.items()
+            if item.gone_at is not None and item.gone_at < before and not item.in_flight
+        ]
+        for name in old:
+            del self._all[name]
+        return old
+
+    def usual_s(self, service: str) -> float:
+        """Return the median time of an answer of the service's upstreams."""
+        times = sorted(
+            item.service_s for item in self.usable(service) if item.service_s
+        )
+        return times[(len(times) - 1) // 2] if times else 0.0
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for upstream in self._all.values():
+            entry = upstream.entry
+            if (
+                upstream.gone_at is None
+                and not entry.draining
+                and entry.zone not in self.evacuated
+            ):
+                self._by_service.setdefault(entry.service, []).append(upstream)
--- /dev/null
+++ b/samphirebend/httpcall.py
@@ -0,0 +1,74 @@
+"""One short HTTP call over a connection pool, with its whole answer in memory."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from .addresses import Address
+from .errorcodes import ErrorKind
+from .headers import Headers
+from .httpclient import ConnectionPool, ResponseHead
+
+MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
+
+
+class _Whole:
+    """Sink that keeps an answer in memory."""
+
+    __slots__ = ("_parts", "_size", "_status", "done")
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._status = 0
+        self.done: Deferred[Result[tuple[int, bytes], ErrorKind]] = Deferred()
+
+    def head(self, head: ResponseHead) -> None:
+        self._status = head.status
+
+    def write(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self.fail(ErrorKind.ANSWER_TRUNCATED)
+        else:
+            self._parts.append(data)
+
+    def end(self) -> None:
+        if not self.done.called:
+            self.done.callback(Ok((self._status, b"".join(self._parts))))
+
+    def fail(self, kind: ErrorKind) -> None:
+        if not self.done.called:
+            self.done.callback(Err(kind))
+
+
+async def call(
+    pool: ConnectionPool,
+    reactor: Any,
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes,
+    timeout_s: float,
+) -> Result[tuple[int, bytes], ErrorKind]:
+    """Return status and body of an answer; CONNECT_FAILED, UPSTREAM_TIMEOUT, ..."""
+    acquired = await pool.acquire(address)
+    if isinstance(acquired, Err):
+        return acquired
+    conn = acquired.ok_value
+    sink = _Whole()
+    headers: Headers = [(b"Host", str(address).encode())]
+    if body:
+        headers.append((b"Content-Type", b"application/json"))
+        headers.append((b"Content-Length", str(len(body)).encode()))
+    timer = reactor.callLater(timeout_s, sink.fail, ErrorKind.UPSTREAM_TIMEOUT)
+    conn.send(method, path, headers, body, sink)
+    result = await sink.done
+    if timer.active():
+        timer.cancel()
+    if isinstance(result, Err):
+        conn.cancel()
+    return result
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -3,24 +3,30 @@
 A connection carries one exchange at a time. It records whether the write of
 the request began, which decides whether a caller may be told that the request
 did not run. A connection whose exchange did not end with a whole answer is
-closed and never used again, so a late answer cannot reach another request.
+closed and never used again, so a late answer cannot reach another request. An
+answer that the exchange does not accept as its own is skipped, and the next one
+on the connection is awaited.
 """
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Final, Protocol as TypingProtocol
 
 import h11
 from result import Err, Ok, Result
+from twisted.internet.abstract import FileDescriptor
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from .addresses import Address
 from .errorcodes import ErrorKind
-from .httpserver import BODILESS_STATUSES, Headers, write_now
+from .headers import Headers
+from .httpserver import BODILESS_STATUSES, write_now
 
 CONNECT_TIMEOUT_S: Final = 1.0
 # An upstream may close an idle connection at any time; a short stay in the
@@ -30,11 +36,29 @@
 # A closed connection counts against its upstream's limit for this long,
 # because the upstream may accept a new one before it notices the close.
 CLOSE_NOTICE_S: Final = 0.25
+# Keep-alive probes of the kernel, which find a peer that went silent.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+UNACKNOWLEDGED_MS: Final = 3000
+SKIP_PART_BYTES: Final = 64 * 1024
 
 
 Target = tuple[Address, str]  # the name of an upstream, empty for a relay
 
 
+def detect_silence(sock: socket.socket) -> None:
+    """Let the kernel end a connection whose other end went silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class ResponseHead:
     """Status and headers of an answer; header names are in lower case."""
 
@@ -84,8 +108,14 @@
         self._sink: ResponseSink | None = None
         self.idle_since = 0.0
         self.open = False
+        self.uses = 0  # exchanges begun on this connection
+        self.keep_s = MAX_IDLE_S  # for how long it may stay idle
         self.write_began = False  # of the current exchange
         self.answer_began = False
+        self._request = h11.Request(method="GET", target="/", headers=[("Host", "")])
+        self._accepts: Callable[[ResponseHead], bool] | None = None
+        self._unframed_allowed = False
+        self._skipping = False  # reads an answer that belongs to another request
 
     @staticmethod
     def _make_parser() -> h11.Connection:
@@ -94,6 +124,8 @@
     def connectionMade(self) -> None:
         self.open = True
         self.transport.setTcpNoDelay(True)
+        if isinstance(self.transport, FileDescriptor):
+            detect_silence(self.transport.getHandle())
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.open = False
@@ -104,9 +136,11 @@
         if not self.answer_began:
             self._fail(ErrorKind.UPSTREAM_BROKEN)
             return
-        # The end of the stream ends no framed body: h11 raises, or stays
-        # without an end of message.
-        self._fail(ErrorKind.ANSWER_TRUNCATED)
+        if self._unframed_allowed and reason.check(ConnectionDone):
+            # Ends a body without a length; for a framed one h11 raises.
+            self._parse(b"")
+        if self._sink is not None:
+            self._fail(ErrorKind.ANSWER_TRUNCATED)
 
     def send(
         self,
@@ -115,11 +149,22 @@
         headers: Headers,
         body: bytes | None,
         sink: ResponseSink,
+        accepts: Callable[[ResponseHead], bool] | None = None,
+        unframed_allowed: bool = False,
     ) -> None:
-        """Write a request; with body None the caller streams the body next."""
+        """Write a request; with body None the caller streams the body next.
+
+        `accepts` tells whether an answer is the one to this request, and
+        `unframed_allowed` whether an answer may end with the connection.
+        """
         self._sink = sink
+        self._accepts = accepts
+        self._unframed_allowed = unframed_allowed
+        self._skipping = False
+        self.uses += 1
         self.answer_began = False
         head = h11.Request(method=method, target=target, headers=headers)
+        self._request = head
         data = self._h11.send(head)
         if body is not None:
             if body:
@@ -139,6 +184,11 @@
             self.transport.write(self._h11.send(h11.EndOfMessage()))
             self._check_done()
 
+    def put_back(self) -> None:
+        """Return a connection on which nothing was sent to the pool."""
+        if self.open:
+            self._pool.put_back(self)
+
     def cancel(self) -> None:
         """Give the exchange up and close the connection; the sink hears no more."""
         self._sink = None
@@ -170,6 +220,9 @@
             # to the next request.
             self._close()
             return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._h11.receive_data(data)
             while self._step():
@@ -189,18 +242,58 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
         if isinstance(event, h11.Response):
-            self.answer_began = True
-            head = ResponseHead(event.status_code, list(event.headers))
-            if not head.is_framed:
-                self._fail(ErrorKind.ANSWER_TRUNCATED)
-                return False
-            self._sink.head(head)
-        elif isinstance(event, h11.Data):
-            self._sink.write(bytes(event.data))
+            return self._take_head(ResponseHead(event.status_code, list(event.headers)))
+        if isinstance(event, h11.Data):
+            if not self._skipping:
+                self._sink.write(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
+            if self._skipping:
+                return self._await_next_answer()
             self._finish()
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _take_head(self, head: ResponseHead) -> bool:
+        assert self._sink is not None
+        if self._accepts is not None and not self._accepts(head):
+            self._skipping = True
+            if not head.is_framed:
+                self._fail(ErrorKind.UPSTREAM_BROKEN)
+            return head.is_framed
+        self.answer_began = True
+        if not head.is_framed and not self._unframed_allowed:
+            self._fail(ErrorKind.ANSWER_TRUNCATED)
+            return False
+        self._sink.head(head)
+        return True
+
+    def _await_next_answer(self) -> bool:
+        """Parse what follows a skipped answer as the answer to the request."""
+        if self._h11.our_state is not h11.DONE:
+            # The rest of the body could not be sent after an answer.
+            self._fail(ErrorKind.UPSTREAM_BROKEN)
+            return False
+        rest, closed = self._h11.trailing_data
+        self._skipping = False
+        self._h11 = self._make_parser()
+        self._h11.send(self._request)
+        while self._h11.our_state is h11.SEND_BODY:
+            self._skip_body()
+        if rest:
+            self._h11.receive_data(rest)
+        if closed:
+            self._h11.receive_data(b"")
+        return True
+
+    def _skip_body(self) -> None:
+        """Bring a new parser to the state after the request's body."""
+        length = dict(self._request.headers).get(b"content-length", b"0")
+        left = int(length)
+        while left > 0:
+            part = min(left, SKIP_PART_BYTES)
+            self._h11.send(h11.Data(data=bytes(part)))
+            left -= part
+        self._h11.send(h11.EndOfMessage())
+
     def _finish(self) -> None:
         sink, self._sink = self._sink, None
         self._check_done()
@@ -241,7 +334,15 @@
     relay. Connections to upstreams are counted until they are closed.
     """
 
-    __slots__ = ("_clock", "_counter", "_idle", "_reactor", "_source", "opened")
+    __slots__ = (
+        "_clock",
+        "_connect_timeout_s",
+        "_counter",
+        "_idle",
+        "_reactor",
+        "_source",
+        "opened",
+    )
 
     def __init__(
         self,
@@ -249,8 +350,10 @@
         clock: Callable[[], float],
         counter: ConnectionCounter | None = None,
         source_ip: str | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
         # Connections leave from the host's own address, so that those who
         # answer can tell the hosts apart; None: the system chooses.
         self._source = (source_ip, 0) if source_ip is not None else None
@@ -260,11 +363,14 @@
         self.opened = 0  # connections opened since the start
 
     async def acquire(
-        self, address: Address, upstream: str = ""
+        self, address: Address, upstream: str = "", max_idle_s: float = MAX_IDLE_S
     ) -> Result[ClientConnection, ErrorKind]:
-        """Return a connection for one exchange, CONNECT_FAILED or a limit."""
+        """Return a connection for one exchange, CONNECT_FAILED or a limit.
+
+        A connection that was idle for more than `max_idle_s` seconds is not used.
+        """
         target = (address, upstream)
-        conn = self._take_idle(target)
+        conn = self._take_idle(target, max_idle_s)
         if conn is not None:
             return Ok(conn)
         if self._counter is not None and upstream:
@@ -275,7 +381,7 @@
             self._reactor,
             address.ip,
             address.port,
-            CONNECT_TIMEOUT_S,
+            self._connect_timeout_s,
             bindAddress=self._source,
         )
         factory = _ClientFactory(_BoundPool(self, target))
@@ -293,13 +399,19 @@
             release = self._counter.release_connection
             self._reactor.callLater(CLOSE_NOTICE_S, release, target[1])
 
-    def _take_idle(self, target: Target) -> ClientConnection | None:
+    def _take_idle(
+        self, target: Target, max_idle_s: float = MAX_IDLE_S
+    ) -> ClientConnection | None:
         idle = self._idle.get(target)
-        oldest_allowed = self._clock() - MAX_IDLE_S
+        now = self._clock()
         while idle:
             conn = idle.pop()
-            if conn.open and conn.idle_since >= oldest_allowed:
-                return conn
+            if conn.open and conn.idle_since >= now - conn.keep_s:
+                if conn.idle_since >= now - max_idle_s:
+                    return conn
+                # The others are older still.
+                idle.append(conn)
+                return None
             conn.cancel()
         return None
 
@@ -308,7 +420,7 @@
         conn.idle_since = self._clock()
         idle = self._idle.setdefault(target, deque())
         idle.append(conn)
-        while idle and idle[0].idle_since < conn.idle_since - MAX_IDLE_S:
+        while idle and idle[0].idle_since < conn.idle_since - idle[0].keep_s:
             idle.popleft().cancel()
 
     def drop_idle(self, target: Target, conn: ClientConnection) -> None:
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -2,12 +2,14 @@
 
 Parses with h11 over Twisted transports. Request bodies are handed to a sink
 as they arrive and are never stored on disk; a sink that pauses stops the
-reading from the socket. Each connection carries one request at a time. The
-module knows nothing of services or routing: `entry` passes a handler in.
+reading from the socket. A server may read further requests of a connection
+before the first is answered; answers keep the order of the requests. The module
+knows nothing of services or routing: its user passes a handler in.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Final, Protocol as TypingProtocol
 
@@ -21,14 +23,15 @@
 
 from .addresses import Address
 from .errorcodes import ErrorKind
-
-Headers = list[tuple[bytes, bytes]]
+from .headers import Headers
 
 IDLE_TIMEOUT_S: Final = 60.0
 # An answer that is sent before the body was read is lost if the connection is
 # closed with unread bytes, so the rest of the body is read and dropped first.
 DISCARD_TIMEOUT_S: Final = 1.0
 MAX_HEADER_BYTES: Final = 32 * 1024
+# Requests that may start before those ahead of them are answered.
+REPEATABLE_METHODS: Final = frozenset(("GET", "HEAD", "OPTIONS"))
 BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
@@ -66,11 +69,12 @@
         "_conn",
         "_paused",
         "_sink",
-        "_streaming",
         "answered",
         "closed",
         "content_length",
         "ended",
+        "finished",
+        "h11",
         "header",
         "headers",
         "method",
@@ -78,24 +82,34 @@
         "on_pause",
         "on_resume",
         "peer_ip",
+        "started",
+        "streaming",
         "target",
+        "unsent",
     )
 
-    def __init__(self, conn: HttpServerProtocol, event: h11.Request, ip: str) -> None:
+    def __init__(
+        self, conn: HttpServerProtocol, parser: h11.Connection, event: h11.Request
+    ) -> None:
         self._conn = conn
         self._sink: BodySink | None = None
         self._paused = False  # the sink asked to stop the flow
-        self._streaming = False  # registered as producer of the transport
+        self.h11 = parser  # state of this request and its answer
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")  # path with query
         self.headers: Headers = [(name, value) for name, value in event.headers]
         self.header: dict[bytes, bytes] = dict(self.headers)
-        self.peer_ip = ip
+        self.peer_ip = conn.peer_ip
         length = self.header.get(b"content-length")
         self.content_length: int | None = int(length) if length else None
+        self.started = False  # the handler was called
         self.ended = False  # the whole body was received
         self.answered = False  # an answer was begun
+        self.streaming = False  # the answer's body follows in parts
+        self.finished = False  # the whole answer was handed over
         self.closed = False  # the caller's connection is gone
+        # Bytes of the answer that wait for the answers of earlier requests.
+        self.unsent: list[bytes] = []
         self.on_closed: Callable[[], None] | None = None
         self.on_pause: Callable[[], None] | None = None  # answer's flow control
         self.on_resume: Callable[[], None] | None = None
@@ -185,13 +199,13 @@
         if self.closed:
             return
         self.answered = True
-        self._streaming = True
+        self.streaming = True
         self._conn.send_head(self, status, headers)
 
     def write(self, data: bytes) -> None:
         """Send a part of the answer's body."""
         if not self.closed:
-            self._conn.send_data(data)
+            self._conn.send_data(self, data)
 
     def finish(self) -> None:
         """End an answer begun with `start`."""
@@ -249,16 +263,25 @@
 
 
 class HttpServerProtocol(Protocol, TimeoutMixin):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Requests are read ahead up to the server's limit and answered in the order
+    in which they came. One that may not run twice starts only when all before
+    it are answered, because a caller sends again what stands behind an answer
+    that closes the connection.
+    """
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
-        self._h11 = self._make_parser()
-        self._req: ServerRequest | None = None
+        self._parser = self._make_parser()
+        # Requests whose answers are not complete, in order of arrival.
+        self._queue: deque[ServerRequest] = deque()
+        self._receiving: ServerRequest | None = None  # its body is being read
+        self._last = False  # no request follows on this connection
         self._advancing = False
         self._reading = True
         self._discarding = False  # drops the rest of a refused body
-        self._peer_ip = ""
+        self.peer_ip = ""
 
     @staticmethod
     def _make_parser() -> h11.Connection:
@@ -266,21 +289,23 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self._peer_ip = self.transport.getPeer().host
+        self.peer_ip = self.transport.getPeer().host
         self._server.connections.add(self)
-        self.setTimeout(IDLE_TIMEOUT_S)
+        self.setTimeout(self._server.idle_timeout_s)
 
     def dataReceived(self, data: bytes) -> None:
         if self._discarding:
             return
-        self._h11.receive_data(data)
+        if not self._queue and not self._parser.trailing_data[0]:
+            self.setTimeout(self._server.header_timeout_s)
+        self._parser.receive_data(data)
         self.advance()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.setTimeout(None)
         self._server.connections.discard(self)
-        req, self._req = self._req, None
-        if req is not None:
+        queue, self._queue = self._queue, deque()
+        for req in queue:
             req.lose()
 
     def timeoutConnection(self) -> None:
@@ -289,11 +314,11 @@
     @property
     def idle(self) -> bool:
         """Tell whether no request is being handled."""
-        return self._req is None
+        return not self._queue
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being handled."""
-        if self._req is None:
+        if self.idle:
             self.transport.loseConnection()
 
     def advance(self) -> None:
@@ -310,11 +335,15 @@
             self._advancing = False
 
     def _step(self) -> bool:
-        req = self._req
-        if req is not None and req.holding and self._h11.their_state is h11.SEND_BODY:
+        req = self._receiving
+        if req is not None and req.holding and not req.ended:
             self._set_reading(False)
             return False
-        event = self._h11.next_event()
+        if self._last or (req is None and self._is_full()):
+            # Reading goes on where nothing waits, to notice a closed connection.
+            self._set_reading(not self._parser.trailing_data[0])
+            return False
+        event = self._parser.next_event()
         if event is h11.NEED_DATA:
             self._invite_body()
             self._set_reading(True)
@@ -323,21 +352,52 @@
             self._set_reading(False)
             return False
         if isinstance(event, h11.Request):
-            self._begin(event)
+            self._receive(event)
         elif isinstance(event, h11.Data) and req is not None:
             req.deliver(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage) and req is not None:
-            req.finish_body()
-            self._next_request()
+            self._end_body(req)
         return not isinstance(event, h11.ConnectionClosed) and not self._discarding
 
-    def _begin(self, event: h11.Request) -> None:
+    def _is_full(self) -> bool:
+        if len(self._queue) >= self._server.max_pipelined:
+            return True
+        return bool(self._queue) and not self._queue[-1].started
+
+    def _receive(self, event: h11.Request) -> None:
         self.setTimeout(None)
-        req = ServerRequest(self, event, self._peer_ip)
-        self._req = req
+        req = ServerRequest(self, self._parser, event)
+        self._queue.append(req)
+        self._receiving = req
         if not req.has_body:
-            self._h11.next_event()  # the end of a message without a body
-            req.ended = True
+            self._parser.next_event()  # the end of a message without a body
+            self._end_body(req)
+        self._start_handler(req)
+
+    def _end_body(self, req: ServerRequest) -> None:
+        self._receiving = None
+        self._prepare_next()
+        req.finish_body()
+        self._settle()
+
+    def _prepare_next(self) -> None:
+        """Give the bytes behind a request to the parser of the next one."""
+        if self._parser.their_state is not h11.DONE:
+            self._last = True
+            return
+        rest, closed = self._parser.trailing_data
+        self._parser = self._make_parser()
+        if rest:
+            self._parser.receive_data(rest)
+        if closed:
+            self._parser.receive_data(b"")
+
+    def _start_handler(self, req: ServerRequest) -> None:
+        if req.started or (
+            req is not self._queue[0] and req.method not in REPEATABLE_METHODS
+        ):
+            return
+        req.started = True
         try:
             self._server.handler(req)
         except Exception:
@@ -346,9 +406,9 @@
                 req.respond(500, [(b"Error-Kind", b"INTERNAL_ERROR")], b"")
 
     def _invite_body(self) -> None:
-        if self._h11.they_are_waiting_for_100_continue and not self._discarding:
+        if self._parser.they_are_waiting_for_100_continue and not self._discarding:
             invitation = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self._h11.send(invitation))
+            self.transport.write(self._parser.send(invitation))
 
     def _set_reading(self, reading: bool) -> None:
         if reading != self._reading:
@@ -359,9 +419,11 @@
                 self.transport.pauseProducing()
 
     def _reject(self, exc: h11.RemoteProtocolError) -> None:
-        if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        # Answers to earlier requests may not be followed by one out of order.
+        first = not self._queue or self._queue[0] is self._receiving
+        if first and self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             # A body that breaks may be on its way to an upstream already.
-            outcome = b"did-not-run" if self._req is None else b"unknown"
+            outcome = b"did-not-run" if self._receiving is None else b"unknown"
             headers = [
                 (b"Error-Kind", b"BAD_REQUEST"),
                 (b"Request-Outcome", outcome),
@@ -370,77 +432,119 @@
             ]
             status = exc.error_status_hint or 400
             head = h11.Response(status_code=status, headers=headers)
-            self.transport.write(self._h11.send(head))
+            self.transport.write(self._parser.send(head))
         self._discarding = True
         self.transport.loseConnection()
 
     # Answers.
 
     def _close_after(self, req: ServerRequest) -> bool:
-        return self._server.draining or not req.ended
+        if not req.ended:
+            return True
+        # What was read behind this request still gets its answer.
+        return self._server.draining and req is self._queue[-1]
 
     def _head(self, req: ServerRequest, status: int, headers: Headers) -> bytes:
         if self._close_after(req):
             headers = [*headers, (b"Connection", b"close")]
-        head: bytes = self._h11.send(h11.Response(status_code=status, headers=headers))
+            self._last = True
+        head: bytes = req.h11.send(h11.Response(status_code=status, headers=headers))
         return head
 
+    def _emit(self, req: ServerRequest, data: bytes) -> None:
+        if self._queue and req is self._queue[0]:
+            self.transport.write(data)
+        else:
+            req.unsent.append(data)
+
     def send_whole(
         self, req: ServerRequest, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send head and body in one write."""
         parts = self._head(req, status, headers)
         if body and req.method != "HEAD":
-            parts += self._h11.send(h11.Data(data=body))
-        parts += self._h11.send(h11.EndOfMessage())
-        write_now(self.transport, parts)
-        self._end(req)
+            parts += req.h11.send(h11.Data(data=body))
+        parts += req.h11.send(h11.EndOfMessage())
+        if req is self._queue[0]:
+            write_now(self.transport, parts)
+        else:
+            req.unsent.append(parts)
+        self._finish(req)
 
     def send_head(self, req: ServerRequest, status: int, headers: Headers) -> None:
         """Send the head and start flow control of the body."""
-        self.transport.write(self._head(req, status, headers))
-        self.transport.registerProducer(req, True)
+        self._emit(req, self._head(req, status, headers))
+        if req is self._queue[0]:
+            self.transport.registerProducer(req, True)
+        else:
+            req.pauseProducing()  # resumed once the earlier answers are sent
 
-    def send_data(self, data: bytes) -> None:
+    def send_data(self, req: ServerRequest, data: bytes) -> None:
         """Send a part of the body."""
-        self.transport.write(self._h11.send(h11.Data(data=data)))
+        self._emit(req, req.h11.send(h11.Data(data=data)))
 
     def end_answer(self, req: ServerRequest) -> None:
         """Send the end of a streamed body."""
         try:
-            tail = self._h11.send(h11.EndOfMessage())
+            tail = req.h11.send(h11.EndOfMessage())
         except h11.LocalProtocolError:
             # Fewer bytes than announced were sent; only a cut tells the caller.
             self.abort()
             return
-        self.transport.unregisterProducer()
-        self.transport.write(tail)
-        self._end(req)
+        if req is self._queue[0]:
+            self.transport.unregisterProducer()
+        self._emit(req, tail)
+        self._finish(req)
 
     def abort(self) -> None:
         """Reset the connection."""
         self.transport.abortConnection()
 
-    def _end(self, req: ServerRequest) -> None:
-        if req.ended:
-            self._next_request()
-        else:
+    def _finish(self, req: ServerRequest) -> None:
+        req.finished = True
+        if not req.ended and req is self._queue[0]:
+            self._queue.clear()
             self._discard_rest()
+        else:
+            self._settle()
+
+    def _settle(self) -> None:
+        """Drop completed requests from the queue and let the next one be sent."""
+        while self._queue and self._queue[0].finished:
+            req = self._queue[0]
+            if not req.ended:
+                if self._receiving is req and req.answered:
+                    self._queue.clear()
+                    self._discard_rest()
+                return
+            self._queue.popleft()
+            if req.h11.our_state is h11.MUST_CLOSE:
+                self._discard_rest()
+                return
+            self._send_next()
+        if not self._queue and self.timeOut is None:
+            self.setTimeout(self._server.idle_timeout_s)
+        self.advance()
 
-    def _next_request(self) -> None:
-        """Get ready for the next request once both directions are done."""
-        if self._h11.our_state is h11.MUST_CLOSE:
-            self._req = None
-            self.transport.loseConnection()
-        elif self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
-            self._req = None
-            self._h11.start_next_cycle()
-            self.setTimeout(IDLE_TIMEOUT_S)
-            self.advance()
+    def _send_next(self) -> None:
+        if not self._queue:
+            return
+        req = self._queue[0]
+        self._start_handler(req)
+        if not self._queue or req is not self._queue[0] or not req.unsent:
+            return
+        data, req.unsent = b"".join(req.unsent), []
+        write_now(self.transport, data)
+        if req.streaming and not req.finished:
+            self.transport.registerProducer(req, True)
+            req.resumeProducing()
 
     def _discard_rest(self) -> None:
         self._discarding = True
-        self._req = None
+        self._receiving = None
+        for req in self._queue:
+            req.lose()
+        self._queue.clear()
         self._set_reading(True)
         self.transport.loseWriteConnection()
         self.setTimeout(DISCARD_TIMEOUT_S)
@@ -449,10 +553,21 @@
 class HttpServer:
     """Listens on an address and hands requests to a handler."""
 
-    __slots__ = ("_port", "connections", "draining", "handler")
+    __slots__ = (
+        "_port",
+        "connections",
+        "draining",
+        "handler",
+        "header_timeout_s",
+        "idle_timeout_s",
+        "max_pipelined",
+    )
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, max_pipelined: int = 1) -> None:
         self.handler = handler
+        self.max_pipelined = max_pipelined  # requests read ahead on a connection
+        self.idle_timeout_s = IDLE_TIMEOUT_S
+        self.header_timeout_s = IDLE_TIMEOUT_S
         self.connections: set[HttpServerProtocol] = set()
         self.draining = False  # answers close their connections
         self._port: Any = None
--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 from .errorcodes import ANSWERS, ErrorKind, Outcome
-from .exchange import end_to_end
-from .httpserver import Headers, ServerRequest
+from .headers import Headers, end_to_end
+from .httpserver import ServerRequest
 from .manifest import Service
 from .requestlife import RequestLife, make_request_life
 
--- a/samphirebend/ledger.py
+++ b/samphirebend/ledger.py
@@ -17,7 +17,7 @@
 from twisted.internet.defer import Deferred
 
 from .errorcodes import ErrorKind, Outcome
-from .httpserver import Headers
+from .headers import Headers
 
 EPOCH_S: Final = 300.0
 MAX_ENTRIES: Final = 200_000
--- /dev/null
+++ b/samphirebend/platform/__main__.py
@@ -0,0 +1,51 @@
+"""Runs a gateway on the platform: `python3 -m samphirebend.platform`."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any, Final
+
+from result import Err
+
+from ..collector import limit_collections
+from ..gateway.app import App, run_app
+from ..logs import set_up_logs
+from . import exchanges
+from .records import TABLES
+from .settings import SETTINGS_VARIABLE, decode_settings
+from .store import make_platform_store
+
+EXIT_BAD_SETTINGS: Final = 2
+
+
+def main() -> int:
+    """Read the settings and run until told to stop; return the exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        sys.stderr.write(f"{SETTINGS_VARIABLE}={path}: {exc}\n")
+        return EXIT_BAD_SETTINGS
+    read = decode_settings(text)
+    if isinstance(read, Err):
+        sys.stderr.write(f"{path}: {read.err_value}\n")
+        return EXIT_BAD_SETTINGS
+    cfg = read.ok_value
+    set_up_logs("INFO", "json", cfg.host, sys.stdout)
+
+    from twisted.internet import reactor as installed_reactor
+
+    reactor: Any = installed_reactor
+    # Twisted's timers follow the wall clock by default, which may be set.
+    reactor.seconds = time.monotonic
+    store = make_platform_store(cfg.store.address, reactor, time.monotonic, cfg.host_ip)
+    app = App(cfg, exchanges, store, TABLES, reactor)
+    limit_collections()
+    return run_app(app, reactor)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/samphirebend/platform/exchanges.py
@@ -0,0 +1,120 @@
+"""Names of the headers that callers and upstreams use, decoded into typed values."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..gateway.dialect import AnswerFacts, CallerFacts, Lookup
+from ..headers import Headers, end_to_end
+from ..httpclient import ResponseHead
+from ..httpserver import ServerRequest
+from .records import decode_row as decode_row
+
+# Each try of a caller has an id of its own, which upstreams repeat.
+_REQUEST_ID: Final = b"attempt-id"
+_TIME_LEFT: Final = b"deadline-ms"
+_OBJECT_COOKIE: Final = "Affinity-Key"
+_UPSTREAM: Final = b"expect-instance"
+_SIGNATURE: Final = b"server-seal"
+_LOAD: Final = b"server-load"
+_NOT_RUN: Final = b"not-executed"
+_COLD_LEFT: Final = b"cold-ms"
+_LOOKUP_PATH: Final = "/resolve"
+_READY_PATH: Final = "/ready"
+# States in themselves that the request did not run.
+_NOT_RUN_STATUSES: Final = frozenset((421,))
+
+
+def read_caller(req: ServerRequest) -> CallerFacts:
+    """Return what a caller's headers say."""
+    host = (req.text(b"host") or "").rpartition(":")
+    name = host[0] if host[0] and host[2].isdecimal() else (req.text(b"host") or "")
+    time_left = req.text(_TIME_LEFT)
+    time_left_s = None
+    if time_left is not None and time_left.isdecimal() and len(time_left) < 10:
+        time_left_s = int(time_left) / 1000
+    return CallerFacts(
+        name.lower(), req.text(_REQUEST_ID) or "", time_left_s, _object_key(req)
+    )
+
+
+def _object_key(req: ServerRequest) -> str:
+    for name, value in req.headers:
+        if name != b"cookie":
+            continue
+        for part in value.decode("latin-1").split(";"):
+            key, _, text = part.strip().partition("=")
+            if key == _OBJECT_COOKIE:
+                return text
+    return ""
+
+
+def upstream_headers(req: ServerRequest, upstream: str, time_left_s: float) -> Headers:
+    """Return the headers of a request to an upstream."""
+    headers = [
+        item
+        for item in end_to_end(req.headers)
+        if item[0] not in (_TIME_LEFT, _UPSTREAM, b"expect")
+    ]
+    time_left_ms = max(1, int(time_left_s * 1000))
+    headers.append((b"Deadline-Ms", str(time_left_ms).encode()))
+    headers.append((b"Expect-Instance", upstream.encode()))
+    return headers
+
+
+def read_answer(head: ResponseHead, request_id: str) -> AnswerFacts:
+    """Return what the head of an upstream's answer says."""
+    facts = AnswerFacts()
+    facts.own = head.header.get(_REQUEST_ID, b"").decode("latin-1") == request_id
+    facts.signed = _SIGNATURE in head.header
+    facts.not_run = _NOT_RUN in head.header or head.status in _NOT_RUN_STATUSES
+    facts.other_upstream = head.status == 421
+    facts.load = _read_load(head.header.get(_LOAD, b""))
+    facts.keep_s = _read_keep_alive(head.header.get(b"keep-alive", b""))
+    cold = head.header.get(_COLD_LEFT, b"")
+    facts.cold_left_s = int(cold) / 1000 if cold.isdigit() else 0.0
+    return facts
+
+
+def _read_load(value: bytes) -> int | None:
+    """Return the requests that run or wait at an upstream.
+
+    >>> _read_load(b"3,2,8"), _read_load(b"")
+    (5, None)
+    """
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return int(parts[0]) + int(parts[1])
+
+
+def _read_keep_alive(value: bytes) -> float | None:
+    """Return how long an idle connection is kept, in seconds.
+
+    >>> _read_keep_alive(b"timeout=10, max=5"), _read_keep_alive(b"")
+    (10.0, None)
+    """
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
+
+
+def read_lookup(req: ServerRequest) -> Lookup | None:
+    """Return the look-up that a request is, or None."""
+    path, _, query = req.target.partition("?")
+    if path != _LOOKUP_PATH:
+        return None
+    fields = dict(part.partition("=")[::2] for part in query.split("&"))
+    return Lookup(fields.get("name", "").lower(), fields.get("region", ""))
+
+
+def lookup_fields(addresses: list[str], ttl_s: float) -> dict[str, object]:
+    """Return the fields of a look-up's answer."""
+    return {"addrs": addresses, "ttlS": ttl_s}
+
+
+def is_ready_check(req: ServerRequest) -> bool:
+    """Tell whether a request asks for the readiness of this process."""
+    return req.target.partition("?")[0] == _READY_PATH
--- /dev/null
+++ b/samphirebend/platform/records.py
@@ -0,0 +1,180 @@
+"""Decodes the rows that the operator and the upstreams write into the store."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+
+from ..gateway.config import (
+    Backend,
+    CallerLimits,
+    Config,
+    RequestKind,
+    Route,
+    ServicePolicy,
+    UpstreamEntry,
+)
+from ..gateway.news import (
+    ConfigNews,
+    EvacuationNews,
+    News,
+    OtherNews,
+    UnreadableNews,
+    UpstreamGone,
+    UpstreamNews,
+)
+from ..gateway.replica import Row
+from .fields import (
+    FieldError,
+    get_address,
+    get_field,
+    get_flag,
+    get_number,
+    get_text,
+    get_texts,
+    get_whole,
+)
+
+OPERATOR_TABLE: Final = "op"
+UPSTREAM_TABLE: Final = "servers"
+TABLES: Final = (OPERATOR_TABLE, UPSTREAM_TABLE)
+
+_CONFIG_KEY: Final = "config"
+_EVACUATION_PREFIX: Final = "evacuate/"
+_STATES: Final = ("ready", "draining")
+_KINDS: Final = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "upload": RequestKind.UPLOAD,
+}
+
+
+def decode_row(row: Row) -> News:
+    """Return what a row says; UnreadableNews names the fault of a damaged one."""
+    try:
+        if row.table == UPSTREAM_TABLE:
+            return _decode_upstream_row(row)
+        if row.key.startswith(_EVACUATION_PREFIX):
+            zone = row.key.removeprefix(_EVACUATION_PREFIX)
+            return EvacuationNews(zone, row.value is not None)
+        if row.key == _CONFIG_KEY and row.value is not None:
+            return ConfigNews(_decode_config(_parse(row.value)))
+    except FieldError as exc:
+        return UnreadableNews(f"{row.table}/{row.key}", str(exc))
+    return OtherNews()
+
+
+def _parse(value: bytes) -> Any:
+    try:
+        return msgspec.json.decode(value)
+    except msgspec.DecodeError as exc:
+        raise FieldError(f"not JSON: {exc}") from exc
+
+
+# Upstreams.
+
+
+def _decode_upstream_row(row: Row) -> News:
+    if row.value is None:
+        return UpstreamGone(row.key)
+    return UpstreamNews(_decode_upstream(row.key, _parse(row.value)))
+
+
+def _decode_upstream(name: str, data: Any) -> UpstreamEntry:
+    info = get_field(data, "info", "entry")
+    status = get_field(data, "status", "entry")
+    entry = UpstreamEntry(
+        name,
+        get_text(info, "service", "info"),
+        get_address(data, "address", "entry"),
+        get_text(info, "zone", "info"),
+    )
+    entry.version = get_text(info, "version", "info")
+    entry.slots = get_whole(info, "slots", "info", 1)
+    state = get_text(status, "state", "status")
+    if state not in _STATES:
+        raise FieldError(f"status.state: unknown state {state!r:.60}")
+    entry.draining = state == "draining"
+    entry.cold_left_s = get_number(status, "coldLeftMs", "status") / 1000
+    if "born" in data:
+        entry.born_ms = get_whole(data, "born", "entry")
+    return entry
+
+
+# Configurations.
+
+
+def _decode_config(data: Any) -> Config:
+    version = get_text(data, "version", "config")
+    try:
+        config = Config(int(version, 16))
+    except ValueError as exc:
+        raise FieldError(f"config.version: not hexadecimal: {version!r:.60}") from exc
+    resources = get_field(data, "resources", "config")
+    if not isinstance(resources, list):
+        raise FieldError("config.resources: expected a list")
+    for index, item in enumerate(resources):
+        path = f"resources[{index}]"
+        kind = get_text(item, "resourceKind", path)
+        spec = get_field(item, "spec", path)
+        if kind == "limits":
+            config.limits = _decode_limits(spec, path)
+            continue
+        name = get_text(get_field(item, "metadata", path), "name", path)
+        if kind == "routes":
+            config.routes.append(_decode_route(name, spec, path))
+        elif kind == "services":
+            config.services[name] = _decode_service(name, spec, path)
+    return config
+
+
+def _decode_limits(spec: Any, path: str) -> CallerLimits:
+    limits = CallerLimits()
+    limits.header_bytes = get_whole(spec, "maxHeaderBytes", path, 1)
+    limits.body_bytes = get_whole(spec, "maxBodyBytes", path)
+    limits.header_timeout_s = get_number(spec, "headerTimeoutMs", path) / 1000
+    limits.idle_timeout_s = get_number(spec, "idleTimeoutMs", path) / 1000
+    return limits
+
+
+def _decode_route(name: str, spec: Any, path: str) -> Route:
+    kind = get_text(spec, "kind", path)
+    if kind not in _KINDS:
+        raise FieldError(f"{path}.kind: unknown kind {kind!r:.60}")
+    prefix = get_text(spec, "prefix", path)
+    route = Route(name, get_text(spec, "host", path), prefix, _KINDS[kind])
+    route.timeout_s = get_number(spec, "timeoutMs", path) / 1000
+    # "slo" is the time within which an answer earns its full credit.
+    route.objective_s = get_number(spec, "sloMs", path) / 1000
+    route.priority = get_whole(spec, "priority", path)
+    route.max_attempts = get_whole(spec, "maxAttempts", path, 1)
+    route.sticky = get_flag(spec, "sticky", path, default=False)
+    route.home_regions = frozenset(get_texts(spec, "homeRegions", path))
+    route.backends = _decode_backends(spec, path)
+    return route
+
+
+def _decode_backends(spec: Any, path: str) -> list[Backend]:
+    if "backends" not in spec:
+        return [Backend(get_text(spec, "service", path), 1.0)]
+    parts = get_field(spec, "backends", path)
+    if not isinstance(parts, list):
+        raise FieldError(f"{path}.backends: expected a list")
+    backends = [
+        Backend(get_text(part, "service", path), get_number(part, "weight", path))
+        for part in parts
+    ]
+    backends = [backend for backend in backends if backend.weight > 0]
+    if not backends:
+        raise FieldError(f"{path}.backends: no service has a weight")
+    return backends
+
+
+def _decode_service(name: str, spec: Any, path: str) -> ServicePolicy:
+    policy = ServicePolicy(name)
+    policy.health_path = get_text(spec, "healthPath", path)
+    policy.max_connections = get_whole(spec, "maxConns", path)
+    policy.cold_s = get_number(spec, "coldStartS", path)
+    policy.cold_per_s = get_number(spec, "coldPerS", path)
+    return policy
--- /dev/null
+++ b/samphirebend/platform/settings.py
@@ -0,0 +1,92 @@
+"""Decodes the settings file of the platform (TOML)."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from ..addresses import Address, parse_address
+from ..gateway.settings import Bounds, GatewaySettings, StoreSettings
+from .fields import (
+    FieldError,
+    get_address,
+    get_field,
+    get_number,
+    get_text,
+    get_texts,
+    get_whole,
+)
+
+SETTINGS_VARIABLE: Final = "SAMPHIREBEND_NODE_FILE"
+
+# Field of `terms.bounds` and attribute of `Bounds`, in the same unit.
+_BOUNDS: Final = (
+    ("budgetRatio", "retry_ratio"),
+    ("budgetWindowS", "retry_window_s"),
+    ("budgetSlack", "retry_slack"),
+    ("coldOver", "cold_over"),
+    ("coldSlack", "cold_slack"),
+    ("ttl_max_s", "lookup_ttl_max_s"),
+    ("graceS", "stop_grace_s"),
+)
+
+
+def decode_settings(text: str) -> Result[GatewaySettings, str]:
+    """Return the settings, or the first fault with the path of its field."""
+    try:
+        return Ok(_decode(tomllib.loads(text)))
+    except (tomllib.TOMLDecodeError, FieldError) as exc:
+        return Err(str(exc))
+
+
+def _decode(data: dict[str, Any]) -> GatewaySettings:
+    own = get_field(data, "self", "settings")
+    cfg = GatewaySettings(
+        get_text(own, "node", "self"),  # the platform's name of this host
+        get_text(own, "zone", "self"),
+        get_text(own, "region", "self"),
+    )
+    cfg.host_ip = get_text(own, "ip", "self")
+    network = get_field(data, "network", "settings")
+    _read_network(cfg, network, get_texts(own, "serves", "self"))
+    provider = get_field(data, "provider", "settings")
+    store = get_field(provider, "provider", "provider")  # a table within its namesake
+    cfg.store = StoreSettings(get_address(store, "address", "provider.provider"))
+    cfg.bounds = _read_bounds(data)
+    return cfg
+
+
+def _read_network(cfg: GatewaySettings, network: Any, serves: list[str]) -> None:
+    listen = get_field(network, "listen", "network")
+    if "front" in serves:
+        cfg.front = get_address(listen, "front", "network.listen")
+        cfg.ready = get_address(listen, "ready", "network.listen")
+    if "directory" in serves:
+        cfg.directory = get_address(listen, "directory", "network.listen")
+    ports = get_field(network, "portRange", "network")
+    if not isinstance(ports, list) or not ports:
+        raise FieldError("network.portRange: expected a list of two ports")
+    port = get_whole({"portRange[0]": ports[0]}, "portRange[0]", "network", 1)
+    cfg.peer = Address(cfg.host_ip, port)
+    for text in get_texts(network, "seeds", "network"):
+        seed = parse_address(text)
+        if seed is None:
+            raise FieldError(f"network.seeds: expected IP:PORT, found {text!r:.60}")
+        # Ports are the same on all hosts.
+        cfg.seeds.append(Address(seed.ip, port))
+    zones = get_field(network, "zones", "network")
+    if not isinstance(zones, dict):
+        raise FieldError("network.zones: expected a table")
+    cfg.regions = {str(zone): str(region) for zone, region in zones.items()}
+
+
+def _read_bounds(data: dict[str, Any]) -> Bounds:
+    bounds = Bounds()
+    terms = data.get("terms", {})
+    stated = terms.get("bounds", {}) if isinstance(terms, dict) else {}
+    for field, attribute in _BOUNDS:
+        if field in stated:
+            setattr(bounds, attribute, get_number(stated, field, "terms.bounds"))
+    return bounds
--- /dev/null
+++ b/samphirebend/platform/store.py
@@ -0,0 +1,135 @@
+"""Client of the platform's store: rows in tables, read, followed and written."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from typing import Any, Final
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..addresses import Address
+from ..gateway.replica import Row
+from ..gateway.rowstore import Page, StoreFault
+from ..httpcall import call
+from ..httpclient import ConnectionPool
+from .fields import FieldError, get_field, get_text, get_whole
+
+PAGE_ROWS: Final = 500
+# A call that waits for changes takes this much longer at most.
+FEED_MARGIN_S: Final = 1.0
+
+_FAULTS: Final = {
+    409: StoreFault.CONFLICT,
+    410: StoreFault.HISTORY_LOST,
+    412: StoreFault.CONFLICT,
+}
+
+
+class PlatformStore:
+    """Calls the store; each call ends with a result within its time limit."""
+
+    __slots__ = ("_address", "_pool", "_reactor", "calls")
+
+    def __init__(self, address: Address, pool: ConnectionPool, reactor: Any) -> None:
+        self._address = address
+        self._pool = pool
+        self._reactor = reactor
+        self.calls: dict[str, int] = {}  # by outcome
+
+    async def read(self, table: str, timeout_s: float) -> Result[Page, StoreFault]:
+        """Return all rows of a table; UNAVAILABLE if a page cannot be read."""
+        rows: list[Row] = []
+        version: int | None = None
+        first_key = ""
+        while True:
+            path = f"/rows-get?table={table}&part=&maxItems={PAGE_ROWS}"
+            if first_key:
+                path += "&from=" + quote(first_key, safe="")
+            called = await self._call("GET", path, b"", timeout_s)
+            if isinstance(called, Err):
+                return called
+            decoded = _decode_page(table, called.ok_value)
+            if isinstance(decoded, Err):
+                return decoded
+            page, more = decoded.ok_value
+            rows += page.rows
+            # What changed since the first page comes again with the feed.
+            version = page.version if version is None else version
+            if not more or not page.rows:
+                return Ok(Page(rows, version))
+            first_key = page.rows[-1].key + "\0"
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[Page, StoreFault]:
+        """Return the rows that changed after a version, as soon as there is one."""
+        wait_ms = int(wait_s * 1000)
+        path = f"/rows-feed?table={table}&after={after}&waitMs={wait_ms}"
+        called = await self._call("GET", path, b"", wait_s + FEED_MARGIN_S)
+        if isinstance(called, Err):
+            return called
+        return _decode_page(table, called.ok_value).map(lambda decoded: decoded[0])
+
+    async def put(
+        self, table: str, key: str, value: bytes, timeout_s: float
+    ) -> Result[None, StoreFault]:
+        """Write one row, whatever it was before."""
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+        }
+        body = msgspec.json.encode({"precondition": [], "writes": [row], "deletes": []})
+        called = await self._call("POST", "/rows-tx", body, timeout_s)
+        return called.map(lambda _answer: None)
+
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> Result[bytes, StoreFault]:
+        called = await call(
+            self._pool, self._reactor, self._address, method, path, body, timeout_s
+        )
+        if isinstance(called, Err):
+            self._count("no_answer")
+            return Err(StoreFault.UNAVAILABLE)
+        status, answer = called.ok_value
+        self._count(str(status))
+        if status == 200:
+            return Ok(answer)
+        return Err(_FAULTS.get(status, StoreFault.UNAVAILABLE))
+
+    def _count(self, outcome: str) -> None:
+        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+
+
+def _decode_page(table: str, body: bytes) -> Result[tuple[Page, bool], StoreFault]:
+    """Return a page and whether more rows follow."""
+    try:
+        data = msgspec.json.decode(body)
+        rows = [_decode_row(table, item) for item in get_field(data, "rows", "page")]
+        # The newest version in the store when the page was made.
+        version = get_whole(data, "ver", "page")
+        return Ok((Page(rows, version), bool(data.get("hasMore", False))))
+    except (msgspec.DecodeError, FieldError, ValueError, TypeError):
+        return Err(StoreFault.UNREADABLE)
+
+
+def _decode_row(table: str, item: Any) -> Row:
+    removed = bool(item.get("deleted", False))
+    value = None if removed else base64.b64decode(get_text(item, "value", "row"))
+    return Row(
+        table, get_text(item, "key", "row"), value, get_whole(item, "ver", "row")
+    )
+
+
+def make_platform_store(
+    address: Address, reactor: Any, clock: Callable[[], float], source_ip: str
+) -> PlatformStore:
+    """Return a client of the store with connections of its own."""
+    return PlatformStore(
+        address, ConnectionPool(reactor, clock, None, source_ip), reactor
+    )
--- a/samphirebend/relay.py
+++ b/samphirebend/relay.py
@@ -26,8 +26,9 @@
     UploadPipe,
     join_pacers,
 )
+from .headers import Headers
 from .httpclient import ConnectionPool, ResponseHead
-from .httpserver import Headers, ServerRequest
+from .httpserver import ServerRequest
 from .job import Job, answer_headers
 from .ledger import KeptAnswer
 from .manifest import Host
--- a/tests/unit/test_daemon.py
+++ b/tests/unit/test_daemon.py
@@ -4,7 +4,7 @@
 
 import gc
 
-from samphirebend.daemon import COLLECT_AFTER_OBJECTS, limit_collections
+from samphirebend.collector import COLLECT_AFTER_OBJECTS, limit_collections
 
 
 def test_collections_skip_the_objects_of_the_start() -> None:
