Place objects in their own region as far as its slots reach

Further causes found on the way: a load report counts the request that it answers, so every upstream looked busier by one, and warm upstreams refused work with free slots; an upstream that had just started took objects while it was slow; where all upstreams of a service failed alike, objects moved between them and were cold each time.

Change: home region by the hash of the object, with a share from the region's demand; choice by expected wait and work; reports without the answered request; cold upstreams only where the others are too few; faults against the service's median.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -71,7 +71,7 @@
         self.metrics = Metrics()
         self.book = UpstreamBook(cfg.regions)
         cold = ColdLimit(cfg.bounds.cold_over, cfg.bounds.cold_slack)
-        placement = Placement(self.book, cold, rng)
+        placement = Placement(cfg.region, self.book, cold, rng)
         self.view = View(self.book, placement)
         self.members = Members(_own_member(cfg, rng), rng)
         self.pool = ConnectionPool(reactor, clock, None, cfg.host_ip, CONNECT_TIMEOUT_S)
@@ -192,6 +192,8 @@
     def _keep_up(self) -> None:
         now = time.monotonic()
         self.view.expire_held(now)
+        self.members.own.rates = self.gateway.demand.rates(now)
+        self.gateway.placement.update_split(self.members.region_rates(now), now)
         for name in self.book.forget_gone(now - FORGET_GONE_S):
             self.gateway.cold.forget(name)
             self.pool.close_idle(name)
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -23,6 +23,7 @@
 from .dialect import CallerFacts, Dialect
 from .members import Members
 from .placement import Placed, Placement, Refused, Request
+from .split import Demand
 from .upstreams import Upstream
 from .view import View
 
@@ -43,6 +44,7 @@
         "_rng",
         "budget",
         "cold",
+        "demand",
         "dialect",
         "in_flight",
         "members",
@@ -74,6 +76,7 @@
         self.members = members
         self.budget = budget
         self.cold = cold
+        self.demand = Demand()
         self.pool = pool
         self.metrics = metrics
         self.reactor = reactor
@@ -192,6 +195,7 @@
         self._route = route
         self._service = gateway.view.picker.pick(route)
         gateway.budget.note_request(self._service, self._started)
+        gateway.demand.note_request(self._service, self._started)
         limit_s = route.timeout_s
         if self._caller.time_left_s is not None:
             limit_s = min(limit_s, self._caller.time_left_s)
@@ -206,7 +210,7 @@
         request = Request(
             route,
             self._service,
-            self._object_key(route),
+            self._object_key(),
             self._started + route.objective_s,
             self._deadline,
         )
@@ -223,9 +227,8 @@
         if not self._over:
             self._give_up(Refused("attempts-spent", STOPPING_RETRY_S * 2))
 
-    def _object_key(self, route: Route) -> str:
-        key = self._caller.object_key
-        return f"{route.name}/{key}" if key else self._req.target
+    def _object_key(self) -> str:
+        return self._caller.object_key or self._req.target
 
     async def _try_at(self, choice: Placed, request: Request) -> None:
         gateway, route = self._gateway, self._route
@@ -272,7 +275,7 @@
         elapsed_s = now - (sent_at if sent_at is not None else now)
         if end is AttemptEnd.ANSWERED or end is AttemptEnd.STREAMED:
             self._life.answer()
-            self._note_answer(attempt, upstream, elapsed_s, choice.queued, now)
+            self._note_answer(attempt, upstream, elapsed_s, choice, now)
             return
         self._last = attempt
         if end is AttemptEnd.NOT_RUN:
@@ -300,7 +303,7 @@
         attempt: Attempt,
         upstream: Upstream,
         elapsed_s: float,
-        queued: bool,
+        choice: Placed,
         now: float,
     ) -> None:
         head, route = attempt.head_seen, self._route
@@ -313,9 +316,8 @@
                 if self._may_try_again(route):
                     return
         else:
-            upstream.note_answer(elapsed_s, queued, now)
-            upstream.note_object(self._object_key(route))
-        self._answer(attempt)
+            upstream.note_answer(elapsed_s, self._object_key(), choice.queued, now)
+        self._answer(attempt, choice, elapsed_s)
 
     def _may_try_again(self, route: Route) -> bool:
         """Tell whether the request may be sent once more."""
@@ -333,7 +335,9 @@
 
     # Ends.
 
-    def _answer(self, attempt: Attempt) -> None:
+    def _answer(
+        self, attempt: Attempt, choice: Placed | None = None, tried_s: float = 0.0
+    ) -> None:
         head = attempt.head_seen
         assert head is not None
         now = self._gateway.reactor.seconds()
@@ -359,7 +363,11 @@
                 service=self._service,
                 upstream=attempt.upstream.name,
                 status=head.status,
+                object=self._object_key(),
+                rank=choice.rank if choice is not None else None,
+                expected_wait_ms=round(choice.wait_s * 1000) if choice else None,
                 attempts=self._attempts,
+                upstream_ms=round(tried_s * 1000),
                 elapsed_ms=round(elapsed_s * 1000),
             )
 
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Final
 
@@ -17,15 +18,17 @@
 
 from .budgets import ColdLimit
 from .config import Route, ServicePolicy
-from .upstreams import Health, Upstream, UpstreamBook
+from .split import RegionSplit, spare_weights
+from .upstreams import COLD_FACTOR, Health, ServiceNorm, Upstream, UpstreamBook
 
 SPREAD: Final = 2  # upstreams of one object
 # Part of the objective for which a request may always wait in a queue.
-MIN_WAIT_SHARE: Final = 0.125
-NETWORK_S: Final = 0.05  # time between hosts and upstreams, both ways
+MIN_WAIT_SHARE: Final = 0.3
+CALLER_NETWORK_S: Final = 0.015  # time between callers and hosts, both ways
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 1.5
 MAX_CACHED_RANKINGS: Final = 5000
+MIN_UNIT: Final = 1e-12
 
 
 class Request:
@@ -59,12 +62,15 @@
 class Placed:
     """The request goes to an upstream."""
 
-    __slots__ = ("queued", "rank", "upstream", "wait_s")
+    __slots__ = ("queued", "rank", "upstream", "wait_s", "work_s")
 
-    def __init__(self, upstream: Upstream, rank: int, wait_s: float) -> None:
+    def __init__(
+        self, upstream: Upstream, rank: int, wait_s: float, work_s: float = 0.0
+    ) -> None:
         self.upstream = upstream
         self.rank = rank  # place of the upstream in the object's order
         self.wait_s = wait_s  # expected time in its queue
+        self.work_s = work_s  # expected time of its work
         self.queued = wait_s > 0
 
 
@@ -81,23 +87,48 @@
 class Placement:
     """Ranks the upstreams of each object and chooses among the first."""
 
-    __slots__ = ("_book", "_cold", "_generation", "_policies", "_rankings", "_rng")
+    __slots__ = (
+        "_book",
+        "_cold",
+        "_generation",
+        "_policies",
+        "_rankings",
+        "_region",
+        "_rng",
+        "split",
+    )
 
-    def __init__(self, book: UpstreamBook, cold: ColdLimit, rng: random.Random) -> None:
+    def __init__(
+        self, region: str, book: UpstreamBook, cold: ColdLimit, rng: random.Random
+    ) -> None:
+        self._region = region  # of this host and its callers
         self._book = book
         self._cold = cold
         self._rng = rng
+        self.split = RegionSplit()
         self._policies: dict[str, ServicePolicy] = {}
-        self._rankings: dict[tuple[str, str, frozenset[str]], list[Upstream]] = {}
+        self._rankings: dict[
+            tuple[str, str, frozenset[str], float | None], list[Upstream]
+        ] = {}
         self._generation = -1
 
     def apply(self, policies: dict[str, ServicePolicy]) -> None:
         """Take the services of a configuration."""
         self._policies = policies
 
+    def update_split(self, demand: dict[str, float], now: float) -> None:
+        """Take the region's requests a second to each service."""
+        for service in self._policies:
+            slots: dict[str, int] = {}
+            for item in self._book.usable(service):
+                slots[item.region] = slots.get(item.region, 0) + item.slots
+            usual_s = self._book.norm(service, now).service_s
+            filled = demand[service] * usual_s if service in demand else None
+            self.split.update(service, slots, self._region, filled, now)
+
     def choose(self, request: Request, hosts: int, now: float) -> Placed | Refused:
         """Return where the request goes; `hosts` share the cold upstreams."""
-        usual_s = self._book.usual_s(request.service)
+        norm = self._book.norm(request.service, now)
         ranked = [
             item
             for item in self._ranking(request)
@@ -105,20 +136,20 @@
         ]
         if not ranked:
             return self._refuse("no-upstream", MIN_RETRY_AFTER_S, request, now)
-        trial = self._trial(ranked, request, usual_s, now)
+        trial = self._trial(ranked, request, norm, now)
         if trial is not None:
             return trial
-        good = [item for item in ranked if item.health(usual_s, now) is Health.GOOD]
-        few = (good or ranked)[:SPREAD]
-        for rank, upstream in enumerate(few):
-            if upstream.load(now) < upstream.slots:
-                return Placed(upstream, rank, 0.0)
-        waits = [item.wait_s(usual_s, now) for item in few]
-        shortest = min(waits)
-        best = few[waits.index(shortest)]
-        if shortest <= self._longest_wait(request, best.expected_s(usual_s), now):
-            return Placed(best, waits.index(shortest), shortest)
-        return self._refuse("upstreams-full", shortest, request, now)
+        few = _first_choices(ranked, norm, now)
+        options = [
+            _option(item, rank, request.object_key, norm.service_s, now)
+            for rank, item in enumerate(few)
+        ]
+        best = min(options, key=lambda option: option.wait_s + option.work_s)
+        if best.wait_s <= _longest_wait(
+            request.route, few[0].expected_s(norm.service_s)
+        ):
+            return best
+        return self._refuse("upstreams-full", best.wait_s, request, now)
 
     def _warm_enough(self, upstream: Upstream, hosts: int, now: float) -> bool:
         if not upstream.is_cold(now):
@@ -129,20 +160,16 @@
         return self._cold.allows(upstream.name, policy.cold_per_s, hosts, now)
 
     def _trial(
-        self, ranked: list[Upstream], request: Request, usual_s: float, now: float
+        self, ranked: list[Upstream], request: Request, norm: ServiceNorm, now: float
     ) -> Placed | None:
         """Send a request that may be repeated to a doubtful upstream now and then."""
         first = ranked[0]
         if not request.route.idempotent or request.tried:
             return None
-        if first.health(usual_s, now) is not Health.DOUBTFUL:
+        if first.health(norm, now) is not Health.DOUBTFUL:
             return None
         return Placed(first, 0, 0.0) if first.takes_trial(now) else None
 
-    def _longest_wait(self, request: Request, service_s: float, now: float) -> float:
-        on_time_s = request.objective_at - now - service_s - NETWORK_S
-        return max(on_time_s, request.route.objective_s * MIN_WAIT_SHARE)
-
     def _refuse(
         self, reason: str, wait_s: float, request: Request, now: float
     ) -> Refused:
@@ -151,22 +178,103 @@
         return Refused(reason, wait_s * self._rng.uniform(0.8, 1.6))
 
     def _ranking(self, request: Request) -> list[Upstream]:
+        share = self.split.share(request.service)
         if self._generation != self._book.generation:
             self._generation = self._book.generation
             self._rankings.clear()
         homes = request.route.home_regions
-        key = (request.service, request.object_key, homes)
+        key = (request.service, request.object_key, homes, share)
         ranking = self._rankings.get(key)
         if ranking is None:
             if len(self._rankings) >= MAX_CACHED_RANKINGS:
                 self._rankings.clear()
             usable = self._book.usable(request.service)
             allowed = [item for item in usable if not homes or item.region in homes]
-            ranking = rank(request.object_key, allowed)
+            own_share = 1.0 if share is None else share
+            ranking = rank_by_region(
+                request.object_key, allowed, self._region, own_share
+            )
             self._rankings[key] = ranking
         return ranking
 
 
+def _first_choices(
+    ranked: list[Upstream], norm: ServiceNorm, now: float
+) -> list[Upstream]:
+    """Return the few upstreams that a request may go to, best trusted ones first.
+
+    One that has just started is slow and bears few requests, so objects move to
+    it only afterwards, unless the others are too few.
+    """
+    good = [item for item in ranked if item.health(norm, now) is Health.GOOD]
+    settled = [item for item in good if not item.is_cold(now)]
+    if len(settled) < SPREAD:
+        settled += [item for item in good if item.is_cold(now)]
+    return (settled or ranked)[:SPREAD]
+
+
+def _longest_wait(route: Route, work_s: float) -> float:
+    """Return how long a queue may be, in seconds, for a new request to be on time.
+
+    One that came back after a refusal is late already, and may wait as long: a
+    longer queue would make those behind it late too.
+    """
+    on_time_s = route.objective_s - work_s - CALLER_NETWORK_S
+    return max(on_time_s, route.objective_s * MIN_WAIT_SHARE)
+
+
+def _option(
+    upstream: Upstream, place: int, object_key: str, usual_s: float, now: float
+) -> Placed:
+    """Return what to expect of a request at one upstream of its object.
+
+    The first upstream of an object has handled it already, if any has.
+    """
+    work_s = upstream.expected_s(usual_s)
+    if place > 0 and object_key not in upstream.warm:
+        work_s *= COLD_FACTOR
+    return Placed(upstream, place, upstream.wait_s(usual_s, now), work_s)
+
+
+def rank_by_region(
+    object_key: str, upstreams: list[Upstream], region: str, share: float
+) -> list[Upstream]:
+    """Return upstreams in the order of an object, its home region's first.
+
+    `share` is the part of the objects that has its home in the own region.
+    """
+    by_region: dict[str, list[Upstream]] = {}
+    for item in upstreams:
+        by_region.setdefault(item.region, []).append(item)
+    if len(by_region) < 2:
+        return rank(object_key, upstreams)
+    slots = {
+        name: sum(item.slots for item in items) for name, items in by_region.items()
+    }
+    weights = spare_weights(slots, region)
+    others = sorted(
+        (name for name in by_region if name != region),
+        key=lambda name: _weighted_score(name, object_key, weights.get(name, 0.0)),
+        reverse=True,
+    )
+    order = others
+    if region in by_region:
+        is_home = _unit_hash(f"home/{object_key}") < share
+        order = [region, *others] if is_home else [others[0], region, *others[1:]]
+    return [item for name in order for item in rank(object_key, by_region[name])]
+
+
+def _unit_hash(text: str) -> float:
+    """Return a hash of a text as a number from 0 up to 1."""
+    return int(xxhash.xxh3_64_intdigest(text.encode())) / 2.0**64
+
+
+def _weighted_score(name: str, object_key: str, weight: float) -> float:
+    """Return a score that is the highest as often as the weight says."""
+    unit = max(_unit_hash(f"{name}//{object_key}"), MIN_UNIT)
+    return -weight / math.log(unit) if weight > 0 else -1.0 + unit
+
+
 def rank(object_key: str, upstreams: list[Upstream]) -> list[Upstream]:
     """Return upstreams in the order of an object (rendezvous hashing)."""
 
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -9,8 +9,10 @@
 
 from .config import UpstreamEntry
 
-# Age at which a load report says little about the present.
-REPORT_FADES_S: Final = 0.4
+# Shortest age at which a load report says little about the present.
+MIN_REPORT_FADES_S: Final = 0.1
+# Times the usual work that an upstream needs for an object that it does not know.
+COLD_FACTOR: Final = 3.0
 AVERAGE_WEIGHT: Final = 0.2  # of a new sample in a moving average
 FIRST_SERVICE_S: Final = 0.3  # expected time of a request before any was seen
 CONNECT_BACKOFF_S: Final = 0.5
@@ -20,6 +22,7 @@
 SILENT_FACTOR: Final = 5.0
 MIN_SILENCE_S: Final = 1.0
 TRIAL_INTERVAL_S: Final = 1.0
+NORM_INTERVAL_S: Final = 0.1
 # Objects remembered as handled by one upstream.
 MAX_WARM_OBJECTS: Final = 64
 
@@ -33,6 +36,17 @@
     DOWN = "down"
 
 
+class ServiceNorm:
+    """What is usual among the upstreams of a service, as medians."""
+
+    __slots__ = ("faulty", "made_at", "service_s")
+
+    def __init__(self, service_s: float, faulty: float, made_at: float) -> None:
+        self.service_s = service_s  # time of an answer; 0: none seen
+        self.faulty = faulty  # share of failed answers
+        self.made_at = made_at
+
+
 class Upstream:
     """One upstream and what this host has seen of it."""
 
@@ -86,7 +100,8 @@
     def load(self, now: float) -> float:
         """Return the requests that run or wait there, as far as is known."""
         age_s = now - self._reported_at
-        fresh = max(0.0, 1.0 - age_s / REPORT_FADES_S)
+        fades_s = max(MIN_REPORT_FADES_S, self.service_s or FIRST_SERVICE_S)
+        fresh = max(0.0, 1.0 - age_s / fades_s)
         others = fresh * self._others + (1.0 - fresh) * self._average_others
         return self.in_flight + others
 
@@ -119,14 +134,17 @@
             self.in_flight -= 1
         return sent_at
 
-    def note_answer(self, elapsed_s: float, queued: bool, now: float) -> None:
-        """Record a good answer and its time in seconds."""
+    def note_answer(
+        self, elapsed_s: float, object_key: str, queued: bool, now: float
+    ) -> None:
+        """Record a good answer about an object and its time in seconds."""
         self._last_answer_at = now
         self.connect_failures = 0
         self._down_until = 0.0
         self.faulty *= 1.0 - AVERAGE_WEIGHT
-        if not queued:
+        if not queued and object_key in self.warm:
             self.service_s = _average(self.service_s, elapsed_s)
+        self._note_object(object_key)
 
     def note_failure(self, now: float) -> None:
         """Record a failed answer, or one that never came."""
@@ -145,29 +163,37 @@
         self._down_until = now + min(MAX_BACKOFF_S, backoff_s)
 
     def note_report(self, total: float, now: float) -> None:
-        """Take the load that it reported: requests that run or wait there."""
-        others = max(0.0, total - self.in_flight)
+        """Take the load that it reported with an answer: requests that run or wait.
+
+        The answered request is among them, and no longer in flight here.
+        """
+        others = max(0.0, total - 1 - self.in_flight)
         self._others = others
         weight = AVERAGE_WEIGHT
         self._average_others += weight * (others - self._average_others)
         self._reported_at = now
 
-    def note_object(self, key: str) -> None:
+    def _note_object(self, key: str) -> None:
         """Remember that it has handled an object."""
         self.warm[key] = None
         self.warm.move_to_end(key)
         if len(self.warm) > MAX_WARM_OBJECTS:
             self.warm.popitem(last=False)
 
-    def health(self, usual_s: float, now: float) -> Health:
-        """Return how far it may be trusted now."""
+    def health(self, norm: ServiceNorm, now: float) -> Health:
+        """Return how far it may be trusted now.
+
+        Where all upstreams of a service fail alike, leaving one for another only
+        costs the objects that it knows.
+        """
         if now < self._down_until:
             return Health.DOWN
-        if self.connect_failures or self.faulty > FAULTY_SHARE:
+        if self.connect_failures or self.faulty > norm.faulty + FAULTY_SHARE:
             return Health.DOUBTFUL
-        if usual_s and self.service_s > SLOW_FACTOR * usual_s:
+        if norm.service_s and self.service_s > SLOW_FACTOR * norm.service_s:
             return Health.DOUBTFUL
-        return Health.DOUBTFUL if self._is_silent(usual_s, now) else Health.GOOD
+        silent = self._is_silent(norm.service_s, now)
+        return Health.DOUBTFUL if silent else Health.GOOD
 
     def _is_silent(self, usual_s: float, now: float) -> bool:
         if not self._sent_at:
@@ -189,15 +215,28 @@
     return sample if not old else old + AVERAGE_WEIGHT * (sample - old)
 
 
+def _median(values: list[float]) -> float:
+    """Return the lower median, 0 if there are no values."""
+    return sorted(values)[(len(values) - 1) // 2] if values else 0.0
+
+
 class UpstreamBook:
     """All known upstreams, by service and by id."""
 
-    __slots__ = ("_all", "_by_service", "_regions", "evacuated", "generation")
+    __slots__ = (
+        "_all",
+        "_by_service",
+        "_norms",
+        "_regions",
+        "evacuated",
+        "generation",
+    )
 
     def __init__(self, regions: dict[str, str]) -> None:
         self._regions = regions  # failure domain to region
         self._all: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
+        self._norms: dict[str, ServiceNorm] = {}
         self.evacuated: set[str] = set()  # failure domains that get nothing
         self.generation = 0  # changes with the set of usable upstreams
 
@@ -261,12 +300,18 @@
             del self._all[name]
         return old
 
-    def usual_s(self, service: str) -> float:
-        """Return the median time of an answer of the service's upstreams."""
-        times = sorted(
-            item.service_s for item in self.usable(service) if item.service_s
-        )
-        return times[(len(times) - 1) // 2] if times else 0.0
+    def norm(self, service: str, now: float) -> ServiceNorm:
+        """Return what is usual among the service's upstreams."""
+        norm = self._norms.get(service)
+        if norm is None or now - norm.made_at > NORM_INTERVAL_S:
+            usable = self.usable(service)
+            norm = ServiceNorm(
+                _median([item.service_s for item in usable if item.service_s]),
+                _median([item.faulty for item in usable]),
+                now,
+            )
+            self._norms[service] = norm
+        return norm
 
     def _index(self) -> None:
         self._by_service = {}
