--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -10,16 +10,14 @@
 
 from __future__ import annotations
 
-import math
 import random
 from typing import Final
 
-import xxhash
-
 from .budgets import ColdLimit
 from .config import Route, ServicePolicy
-from .split import RegionSplit, spare_weights
-from .upstreams import COLD_FACTOR, Health, ServiceNorm, Upstream, UpstreamBook
+from .ranking import Rankings
+from .split import RegionSplit
+from .upstreams import Health, ServiceNorm, Upstream, UpstreamBook
 
 SPREAD: Final = 2  # upstreams of one object
 # Part of the objective for which a request may always wait in a queue.
@@ -27,8 +25,8 @@
 CALLER_NETWORK_S: Final = 0.015  # time between callers and hosts, both ways
 MIN_RETRY_AFTER_S: Final = 0.2
 MAX_RETRY_AFTER_S: Final = 1.5
-MAX_CACHED_RANKINGS: Final = 5000
-MIN_UNIT: Final = 1e-12
+# Share of its slots up to which an upstream has room for one more object.
+SPARE_SHARE: Final = 0.5
 
 
 class Request:
@@ -62,15 +60,15 @@
 class Placed:
     """The request goes to an upstream."""
 
-    __slots__ = ("queued", "rank", "upstream", "wait_s", "work_s")
+    __slots__ = ("cost_s", "queued", "rank", "upstream", "wait_s")
 
     def __init__(
-        self, upstream: Upstream, rank: int, wait_s: float, work_s: float = 0.0
+        self, upstream: Upstream, rank: int, wait_s: float, cost_s: float = 0.0
     ) -> None:
         self.upstream = upstream
         self.rank = rank  # place of the upstream in the object's order
         self.wait_s = wait_s  # expected time in its queue
-        self.work_s = work_s  # expected time of its work
+        self.cost_s = cost_s  # expected time to its answer
         self.queued = wait_s > 0
 
 
@@ -90,7 +88,6 @@
     __slots__ = (
         "_book",
         "_cold",
-        "_generation",
         "_policies",
         "_rankings",
         "_region",
@@ -107,10 +104,7 @@
         self._rng = rng
         self.split = RegionSplit()
         self._policies: dict[str, ServicePolicy] = {}
-        self._rankings: dict[
-            tuple[str, str, frozenset[str], float | None], list[Upstream]
-        ] = {}
-        self._generation = -1
+        self._rankings = Rankings(region, book)
 
     def apply(self, policies: dict[str, ServicePolicy]) -> None:
         """Take the services of a configuration."""
@@ -122,34 +116,41 @@
             slots: dict[str, int] = {}
             for item in self._book.usable(service):
                 slots[item.region] = slots.get(item.region, 0) + item.slots
-            usual_s = self._book.norm(service, now).service_s
-            filled = demand[service] * usual_s if service in demand else None
+            warm_s = self._book.norm(service, now).warm_s
+            filled = demand[service] * warm_s if service in demand else None
             self.split.update(service, slots, self._region, filled, now)
 
     def choose(self, request: Request, hosts: int, now: float) -> Placed | Refused:
         """Return where the request goes; `hosts` share the cold upstreams."""
+        self._book.note_request(request.service, now)
         norm = self._book.norm(request.service, now)
+        share = self.split.share(request.service)
         ranked = [
             item
-            for item in self._ranking(request)
+            for item in self._rankings.ranked(
+                request.service,
+                request.object_key,
+                request.route.home_regions,
+                1.0 if share is None else share,
+            )
             if item.name not in request.tried and self._warm_enough(item, hosts, now)
         ]
         if not ranked:
-            return self._refuse("no-upstream", MIN_RETRY_AFTER_S, request, now)
+            return self._refuse("no-upstream", MIN_RETRY_AFTER_S)
         trial = self._trial(ranked, request, norm, now)
         if trial is not None:
             return trial
-        few = _first_choices(ranked, norm, now)
-        options = [
-            _option(item, rank, request.object_key, norm.service_s, now)
-            for rank, item in enumerate(few)
-        ]
-        best = min(options, key=lambda option: option.wait_s + option.work_s)
-        if best.wait_s <= _longest_wait(
-            request.route, few[0].expected_s(norm.service_s)
-        ):
-            return best
-        return self._refuse("upstreams-full", best.wait_s, request, now)
+        settled = _settled(ranked, norm, now)
+        options = _options(settled[:SPREAD], request, norm, now)
+        longest_s = _longest_wait(request.route, norm)
+        in_time = [option for option in options if option.wait_s <= longest_s]
+        if in_time:
+            return min(in_time, key=lambda option: option.cost_s)
+        overflow = _overflow(settled, now)
+        if overflow is not None:
+            return overflow
+        shortest_s = min(option.wait_s for option in options)
+        return self._refuse("upstreams-full", shortest_s)
 
     def _warm_enough(self, upstream: Upstream, hosts: int, now: float) -> bool:
         if not upstream.is_cold(now):
@@ -170,38 +171,14 @@
             return None
         return Placed(first, 0, 0.0) if first.takes_trial(now) else None
 
-    def _refuse(
-        self, reason: str, wait_s: float, request: Request, now: float
-    ) -> Refused:
+    def _refuse(self, reason: str, wait_s: float) -> Refused:
         """Refuse; the time to come back is spread, so that not all return at once."""
         wait_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
         return Refused(reason, wait_s * self._rng.uniform(0.8, 1.6))
 
-    def _ranking(self, request: Request) -> list[Upstream]:
-        share = self.split.share(request.service)
-        if self._generation != self._book.generation:
-            self._generation = self._book.generation
-            self._rankings.clear()
-        homes = request.route.home_regions
-        key = (request.service, request.object_key, homes, share)
-        ranking = self._rankings.get(key)
-        if ranking is None:
-            if len(self._rankings) >= MAX_CACHED_RANKINGS:
-                self._rankings.clear()
-            usable = self._book.usable(request.service)
-            allowed = [item for item in usable if not homes or item.region in homes]
-            own_share = 1.0 if share is None else share
-            ranking = rank_by_region(
-                request.object_key, allowed, self._region, own_share
-            )
-            self._rankings[key] = ranking
-        return ranking
-
 
-def _first_choices(
-    ranked: list[Upstream], norm: ServiceNorm, now: float
-) -> list[Upstream]:
-    """Return the few upstreams that a request may go to, best trusted ones first.
+def _settled(ranked: list[Upstream], norm: ServiceNorm, now: float) -> list[Upstream]:
+    """Return the upstreams of an object that may be trusted.
 
     One that has just started is slow and bears few requests, so objects move to
     it only afterwards, unless the others are too few.
@@ -210,76 +187,52 @@
     settled = [item for item in good if not item.is_cold(now)]
     if len(settled) < SPREAD:
         settled += [item for item in good if item.is_cold(now)]
-    return (settled or ranked)[:SPREAD]
+    return settled or ranked
 
 
-def _longest_wait(route: Route, work_s: float) -> float:
+def _options(
+    few: list[Upstream], request: Request, norm: ServiceNorm, now: float
+) -> list[Placed]:
+    """Return what to expect of a request at the upstreams of its object.
+
+    Once a service has run for a while, the first is taken to know the object,
+    since all hosts send it there. Another that does not know it is left out unless
+    it has spare slots: its work there takes several times as long, which a full
+    service cannot bear.
+    """
+    objective_s = request.route.objective_s
+    options = []
+    for place, upstream in enumerate(few):
+        known = request.object_key in upstream.warm or (place == 0 and norm.settled)
+        if place > 0 and not known and not _has_room(upstream, now):
+            continue
+        wait_s = upstream.wait_s(norm, objective_s, now)
+        cost_s = wait_s + upstream.work_s(known, norm, objective_s)
+        # What fails has to be sent again.
+        excess = max(0.0, upstream.faulty - norm.faulty)
+        options.append(Placed(upstream, place, wait_s, cost_s / (1.0 - excess)))
+    return options
+
+
+def _overflow(settled: list[Upstream], now: float) -> Placed | None:
+    """Return an upstream of another region that has room for one more object."""
+    near = settled[0].region
+    for place, item in enumerate(settled[SPREAD:], SPREAD):
+        if item.region != near:
+            return Placed(item, place, 0.0) if _has_room(item, now) else None
+    return None
+
+
+def _has_room(upstream: Upstream, now: float) -> bool:
+    """Tell whether an upstream may get one more object."""
+    return upstream.load(now) <= SPARE_SHARE * upstream.slots
+
+
+def _longest_wait(route: Route, norm: ServiceNorm) -> float:
     """Return how long a queue may be, in seconds, for a new request to be on time.
 
     One that came back after a refusal is late already, and may wait as long: a
     longer queue would make those behind it late too.
     """
-    on_time_s = route.objective_s - work_s - CALLER_NETWORK_S
+    on_time_s = route.objective_s - norm.warm_s - CALLER_NETWORK_S
     return max(on_time_s, route.objective_s * MIN_WAIT_SHARE)
-
-
-def _option(
-    upstream: Upstream, place: int, object_key: str, usual_s: float, now: float
-) -> Placed:
-    """Return what to expect of a request at one upstream of its object.
-
-    The first upstream of an object has handled it already, if any has.
-    """
-    work_s = upstream.expected_s(usual_s)
-    if place > 0 and object_key not in upstream.warm:
-        work_s *= COLD_FACTOR
-    return Placed(upstream, place, upstream.wait_s(usual_s, now), work_s)
-
-
-def rank_by_region(
-    object_key: str, upstreams: list[Upstream], region: str, share: float
-) -> list[Upstream]:
-    """Return upstreams in the order of an object, its home region's first.
-
-    `share` is the part of the objects that has its home in the own region.
-    """
-    by_region: dict[str, list[Upstream]] = {}
-    for item in upstreams:
-        by_region.setdefault(item.region, []).append(item)
-    if len(by_region) < 2:
-        return rank(object_key, upstreams)
-    slots = {
-        name: sum(item.slots for item in items) for name, items in by_region.items()
-    }
-    weights = spare_weights(slots, region)
-    others = sorted(
-        (name for name in by_region if name != region),
-        key=lambda name: _weighted_score(name, object_key, weights.get(name, 0.0)),
-        reverse=True,
-    )
-    order = others
-    if region in by_region:
-        is_home = _unit_hash(f"home/{object_key}") < share
-        order = [region, *others] if is_home else [others[0], region, *others[1:]]
-    return [item for name in order for item in rank(object_key, by_region[name])]
-
-
-def _unit_hash(text: str) -> float:
-    """Return a hash of a text as a number from 0 up to 1."""
-    return int(xxhash.xxh3_64_intdigest(text.encode())) / 2.0**64
-
-
-def _weighted_score(name: str, object_key: str, weight: float) -> float:
-    """Return a score that is the highest as often as the weight says."""
-    unit = max(_unit_hash(f"{name}//{object_key}"), MIN_UNIT)
-    return -weight / math.log(unit) if weight > 0 else -1.0 + unit
-
-
-def rank(object_key: str, upstreams: list[Upstream]) -> list[Upstream]:
-    """Return upstreams in the order of an object (rendezvous hashing)."""
-
-    def score(upstream: Upstream) -> int:
-        text = f"{upstream.name}/{object_key}"
-        return int(xxhash.xxh3_64_intdigest(text.encode()))
-
-    return sorted(upstreams, key=score, reverse=True)
--- a/samphirebend/gateway/split.py
+++ b/samphirebend/gateway/split.py
@@ -12,10 +12,10 @@
 from typing import Final
 
 # Share of a region's slots that its own callers' demand may fill.
-FILL: Final = 0.65
+FILL: Final = 0.4
 # Change of the share a second; callers must not change regions all at once.
 FALL_PER_S: Final = 0.04
-RISE_PER_S: Final = 0.02
+RISE_PER_S: Final = 0.005
 STEP: Final = 0.02  # the share is rounded, so that rankings stay cached
 DEMAND_DECAY_S: Final = 6.0
 # Until the demand has been observed for this long, it is taken as equal everywhere.
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -14,15 +14,18 @@
 # Times the usual work that an upstream needs for an object that it does not know.
 COLD_FACTOR: Final = 3.0
 AVERAGE_WEIGHT: Final = 0.2  # of a new sample in a moving average
-FIRST_SERVICE_S: Final = 0.3  # expected time of a request before any was seen
+# Part of a route's objective that an answer is expected to take before any was seen.
+WARM_SHARE: Final = 0.45
 CONNECT_BACKOFF_S: Final = 0.5
 MAX_BACKOFF_S: Final = 4.0
-FAULTY_SHARE: Final = 0.3  # of failed answers, above which an upstream is doubtful
+FAULTY_SHARE: Final = 0.6  # of failed answers, above which an upstream is doubtful
 SLOW_FACTOR: Final = 3.0  # times the usual time of its service
 SILENT_FACTOR: Final = 5.0
 MIN_SILENCE_S: Final = 1.0
 TRIAL_INTERVAL_S: Final = 1.0
 NORM_INTERVAL_S: Final = 0.1
+# Time after the first request of a service by when most objects were handled once.
+SETTLE_S: Final = 4.0
 # Objects remembered as handled by one upstream.
 MAX_WARM_OBJECTS: Final = 64
 
@@ -39,11 +42,15 @@
 class ServiceNorm:
     """What is usual among the upstreams of a service, as medians."""
 
-    __slots__ = ("faulty", "made_at", "service_s")
+    __slots__ = ("faulty", "made_at", "mean_s", "settled", "warm_s")
 
-    def __init__(self, service_s: float, faulty: float, made_at: float) -> None:
-        self.service_s = service_s  # time of an answer; 0: none seen
+    def __init__(
+        self, warm_s: float, mean_s: float, faulty: float, made_at: float
+    ) -> None:
+        self.warm_s = warm_s  # time of an answer on a known object; 0: none seen
+        self.mean_s = mean_s  # time of any answer; 0: none seen
         self.faulty = faulty  # share of failed answers
+        self.settled = False  # most objects are known to their first upstreams
         self.made_at = made_at
 
 
@@ -64,9 +71,10 @@
         "faulty",
         "gone_at",
         "in_flight",
+        "mean_s",
         "region",
-        "service_s",
         "warm",
+        "warm_s",
     )
 
     def __init__(self, entry: UpstreamEntry, region: str) -> None:
@@ -77,7 +85,9 @@
         self.gone_at: float | None = None  # when its entry was removed
         self.connect_failures = 0  # in a row
         self.faulty = 0.0  # moving average: 1 for a failed answer, 0 for a good one
-        self.service_s = 0.0  # moving average of the time of an answer; 0: none yet
+        # Moving averages of the time of an answer; 0: none yet.
+        self.warm_s = 0.0  # on an object that it knew
+        self.mean_s = 0.0  # on any object
         self.warm: OrderedDict[str, None] = OrderedDict()  # objects, oldest first
         self._others = 0.0  # requests of other hosts, as of the last report
         self._average_others = 0.0
@@ -100,7 +110,7 @@
     def load(self, now: float) -> float:
         """Return the requests that run or wait there, as far as is known."""
         age_s = now - self._reported_at
-        fades_s = max(MIN_REPORT_FADES_S, self.service_s or FIRST_SERVICE_S)
+        fades_s = max(MIN_REPORT_FADES_S, self.mean_s)
         fresh = max(0.0, 1.0 - age_s / fades_s)
         others = fresh * self._others + (1.0 - fresh) * self._average_others
         return self.in_flight + others
@@ -109,16 +119,21 @@
         """Tell whether it must not get many requests."""
         return now < self.cold_until
 
-    def expected_s(self, usual_s: float) -> float:
-        """Return the expected time of one request without a queue, in seconds."""
-        return self.service_s or usual_s or FIRST_SERVICE_S
+    def work_s(self, known: bool, norm: ServiceNorm, objective_s: float) -> float:
+        """Return the expected time of an answer without a queue, in seconds.
+
+        `known` tells whether it has handled the object.
+        """
+        warm_s = self.warm_s or norm.warm_s or objective_s * WARM_SHARE
+        return warm_s if known else warm_s * COLD_FACTOR
 
-    def wait_s(self, usual_s: float, now: float) -> float:
+    def wait_s(self, norm: ServiceNorm, objective_s: float, now: float) -> float:
         """Return the expected time in its queue, in seconds."""
         ahead = self.load(now) - self.slots + 1
         if ahead <= 0:
             return 0.0
-        return ahead * self.expected_s(usual_s) / max(1, self.slots)
+        each_s = self.mean_s or norm.mean_s or objective_s
+        return ahead * each_s / max(1, self.slots)
 
     # What happened to requests.
 
@@ -142,8 +157,10 @@
         self.connect_failures = 0
         self._down_until = 0.0
         self.faulty *= 1.0 - AVERAGE_WEIGHT
-        if not queued and object_key in self.warm:
-            self.service_s = _average(self.service_s, elapsed_s)
+        if not queued:
+            self.mean_s = _average(self.mean_s, elapsed_s)
+            if object_key in self.warm:
+                self.warm_s = _average(self.warm_s, elapsed_s)
         self._note_object(object_key)
 
     def note_failure(self, now: float) -> None:
@@ -190,15 +207,15 @@
             return Health.DOWN
         if self.connect_failures or self.faulty > norm.faulty + FAULTY_SHARE:
             return Health.DOUBTFUL
-        if norm.service_s and self.service_s > SLOW_FACTOR * norm.service_s:
+        if norm.warm_s and self.warm_s > SLOW_FACTOR * norm.warm_s:
             return Health.DOUBTFUL
-        silent = self._is_silent(norm.service_s, now)
+        silent = self._is_silent(norm, now)
         return Health.DOUBTFUL if silent else Health.GOOD
 
-    def _is_silent(self, usual_s: float, now: float) -> bool:
+    def _is_silent(self, norm: ServiceNorm, now: float) -> bool:
         if not self._sent_at:
             return False
-        limit_s = max(MIN_SILENCE_S, SILENT_FACTOR * (self.service_s or usual_s))
+        limit_s = max(MIN_SILENCE_S, SILENT_FACTOR * (self.mean_s or norm.mean_s))
         oldest = next(iter(self._sent_at.values()))
         return now - max(oldest, self._last_answer_at) > limit_s
 
@@ -225,6 +242,7 @@
 
     __slots__ = (
         "_all",
+        "_begun",
         "_by_service",
         "_norms",
         "_regions",
@@ -237,6 +255,7 @@
         self._all: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._norms: dict[str, ServiceNorm] = {}
+        self._begun: dict[str, float] = {}  # first request of each service
         self.evacuated: set[str] = set()  # failure domains that get nothing
         self.generation = 0  # changes with the set of usable upstreams
 
@@ -300,16 +319,22 @@
             del self._all[name]
         return old
 
+    def note_request(self, service: str, now: float) -> None:
+        """Note that requests for a service come."""
+        self._begun.setdefault(service, now)
+
     def norm(self, service: str, now: float) -> ServiceNorm:
         """Return what is usual among the service's upstreams."""
         norm = self._norms.get(service)
         if norm is None or now - norm.made_at > NORM_INTERVAL_S:
             usable = self.usable(service)
             norm = ServiceNorm(
-                _median([item.service_s for item in usable if item.service_s]),
+                _median([item.warm_s for item in usable if item.warm_s]),
+                _median([item.mean_s for item in usable if item.mean_s]),
                 _median([item.faulty for item in usable]),
                 now,
             )
+            norm.settled = now - self._begun.get(service, now) >= SETTLE_S
             self._norms[service] = norm
         return norm
 
