Give each object one order of upstreams for all regions, and keep uploads near

Change: one rendezvous order over all regions; uploads keep to the host's region first; the third upstream only where the first two are full and it has spare slots. The split of a region's objects and the demand in heartbeats are gone.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -192,8 +192,6 @@
     def _keep_up(self) -> None:
         now = time.monotonic()
         self.view.expire_held(now)
-        self.members.own.rates = self.gateway.demand.rates(now)
-        self.gateway.placement.update_split(self.members.region_rates(now), now)
         for name in self.book.forget_gone(now - FORGET_GONE_S):
             self.gateway.cold.forget(name)
             self.pool.close_idle(name)
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -23,7 +23,6 @@
 from .dialect import CallerFacts, Dialect
 from .members import Members
 from .placement import Placed, Placement, Refused, Request
-from .split import Demand
 from .upstreams import Upstream
 from .view import View
 
@@ -44,7 +43,6 @@
         "_rng",
         "budget",
         "cold",
-        "demand",
         "dialect",
         "in_flight",
         "members",
@@ -76,7 +74,6 @@
         self.members = members
         self.budget = budget
         self.cold = cold
-        self.demand = Demand()
         self.pool = pool
         self.metrics = metrics
         self.reactor = reactor
@@ -195,7 +192,6 @@
         self._route = route
         self._service = gateway.view.picker.pick(route)
         gateway.budget.note_request(self._service, self._started)
-        gateway.demand.note_request(self._service, self._started)
         limit_s = route.timeout_s
         if self._caller.time_left_s is not None:
             limit_s = min(limit_s, self._caller.time_left_s)
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -24,7 +24,6 @@
         "incarnation",
         "news",
         "peer",
-        "rates",
         "ready",
         "region",
         "sequence",
@@ -42,7 +41,6 @@
         self.ready = False
         self.heard_at = 0.0  # 0: not yet
         self.news: dict[str, int] = {}  # newest row that it knows, by table
-        self.rates: dict[str, float] = {}  # requests a second, by service
 
 
 class Members:
@@ -86,15 +84,6 @@
         known = len(self._others) + 1
         return known if self.listed else max(known, UNKNOWN_HOSTS)
 
-    def region_rates(self, now: float) -> dict[str, float]:
-        """Return the requests a second of the own region's callers, by service."""
-        rates: dict[str, float] = {}
-        for member in (self.own, *self.live(now)):
-            if member.region == self.own.region:
-                for service, rate in member.rates.items():
-                    rates[service] = rates.get(service, 0.0) + rate
-        return rates
-
     def forget_silent(self, now: float) -> None:
         """Drop hosts that have been silent for long."""
         for host, item in list(self._others.items()):
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -46,7 +46,6 @@
     sequence: int
     ready: bool
     news: dict[str, int]  # newest row that it knows, by table
-    rates: dict[str, float]  # requests a second, by service
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -161,7 +160,6 @@
                 own.sequence,
                 own.ready,
                 own.news,
-                own.rates,
             )
         )
         live = {member.host for member in self._members.live(self._clock())}
@@ -200,7 +198,6 @@
         member.sequence = heartbeat.sequence
         member.ready = heartbeat.ready
         member.news = heartbeat.news
-        member.rates = heartbeat.rates
         was_live = member.host in {
             item.host for item in self._members.live(self._clock())
         }
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -14,9 +14,8 @@
 from typing import Final
 
 from .budgets import ColdLimit
-from .config import Route, ServicePolicy
+from .config import RequestKind, Route, ServicePolicy
 from .ranking import Rankings
-from .split import RegionSplit
 from .upstreams import Health, ServiceNorm, Upstream, UpstreamBook
 
 SPREAD: Final = 2  # upstreams of one object
@@ -90,19 +89,15 @@
         "_cold",
         "_policies",
         "_rankings",
-        "_region",
         "_rng",
-        "split",
     )
 
     def __init__(
         self, region: str, book: UpstreamBook, cold: ColdLimit, rng: random.Random
     ) -> None:
-        self._region = region  # of this host and its callers
         self._book = book
         self._cold = cold
         self._rng = rng
-        self.split = RegionSplit()
         self._policies: dict[str, ServicePolicy] = {}
         self._rankings = Rankings(region, book)
 
@@ -110,28 +105,17 @@
         """Take the services of a configuration."""
         self._policies = policies
 
-    def update_split(self, demand: dict[str, float], now: float) -> None:
-        """Take the region's requests a second to each service."""
-        for service in self._policies:
-            slots: dict[str, int] = {}
-            for item in self._book.usable(service):
-                slots[item.region] = slots.get(item.region, 0) + item.slots
-            warm_s = self._book.norm(service, now).warm_s
-            filled = demand[service] * warm_s if service in demand else None
-            self.split.update(service, slots, self._region, filled, now)
-
     def choose(self, request: Request, hosts: int, now: float) -> Placed | Refused:
         """Return where the request goes; `hosts` share the cold upstreams."""
         self._book.note_request(request.service, now)
         norm = self._book.norm(request.service, now)
-        share = self.split.share(request.service)
         ranked = [
             item
             for item in self._rankings.ranked(
                 request.service,
                 request.object_key,
                 request.route.home_regions,
-                1.0 if share is None else share,
+                near_first=request.route.kind is RequestKind.UPLOAD,
             )
             if item.name not in request.tried and self._warm_enough(item, hosts, now)
         ]
@@ -215,12 +199,10 @@
 
 
 def _overflow(settled: list[Upstream], now: float) -> Placed | None:
-    """Return an upstream of another region that has room for one more object."""
-    near = settled[0].region
-    for place, item in enumerate(settled[SPREAD:], SPREAD):
-        if item.region != near:
-            return Placed(item, place, 0.0) if _has_room(item, now) else None
-    return None
+    """Return one more upstream of an object, if it has room for a further object."""
+    if len(settled) <= SPREAD or not _has_room(settled[SPREAD], now):
+        return None
+    return Placed(settled[SPREAD], SPREAD, 0.0)
 
 
 def _has_room(upstream: Upstream, now: float) -> bool:
