--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,213 @@
+"""Stand-ins of the platform for tests: its store, and upstreams that register there.
+
+Each runs in threads of the test's process on a loopback address. The store keeps
+rows with versions and answers reads, feeds and transactions; an upstream counts
+the requests that it ran.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import threading
+import time
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+FEED_LIMIT_S: Final = 5.0
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Write nothing: tests look at what the stand-ins counted."""
+
+    def reply(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def reply_json(self, status: int, fields: dict[str, Any]) -> None:
+        self.reply(status, json.dumps(fields).encode(), {})
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length", "0")))
+
+
+def _start(ip: str, handler: type[_Handler]) -> _Server:
+    server = _Server((ip, 0), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+class StoreStandIn:
+    """Rows in tables, with one counter of versions."""
+
+    def __init__(self, ip: str = "127.0.0.1") -> None:
+        self.changed = threading.Condition()
+        self.rows: dict[tuple[str, str], dict[str, Any]] = {}
+        self.version = 0
+        self.refused: set[str] = set()  # addresses of hosts that get no answer
+        self.history_from = 0  # feeds after an older version are refused
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                store.answer(self)
+
+            def do_POST(self) -> None:
+                store.transact(self)
+
+        self.server = _start(ip, Handler)
+
+    @property
+    def address(self) -> str:
+        return f"{self.server.server_address[0]!s}:{self.server.server_address[1]}"
+
+    def put(self, table: str, key: str, value: dict[str, Any] | None) -> None:
+        """Write a row, or remove it with value None."""
+        with self.changed:
+            self.version += 1
+            row: dict[str, Any] = {"table": table, "part": "", "key": key}
+            row["ver"] = self.version
+            if value is None:
+                row["deleted"] = True
+            else:
+                row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
+            self.rows[table, key] = row
+            self.changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Refuse feeds that begin before now, and end those that wait."""
+        with self.changed:
+            self.version += 1
+            self.history_from = self.version
+            self.changed.notify_all()
+
+    def _refuses(self, handler: _Handler) -> bool:
+        return handler.client_address[0] in self.refused
+
+    def _page(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
+        return {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
+
+    def answer(self, handler: _Handler) -> None:
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        table = query.get("table", "")
+        with self.changed:
+            if self._refuses(handler):
+                handler.reply_json(503, {"error": "refused"})
+            elif url.path == "/rows-get":
+                live = [
+                    row
+                    for (name, _key), row in sorted(self.rows.items())
+                    if name == table and "deleted" not in row
+                ]
+                handler.reply_json(200, self._page(live))
+            else:
+                self._feed(handler, table, query)
+
+    def _feed(self, handler: _Handler, table: str, query: dict[str, str]) -> None:
+        after = int(query["after"])
+        wait_s = min(FEED_LIMIT_S, int(query["waitMs"]) / 1000)
+        until = time.monotonic() + wait_s
+        while True:
+            newer = [
+                row
+                for (name, _key), row in self.rows.items()
+                if name == table and row["ver"] > after
+            ]
+            left_s = until - time.monotonic()
+            if self._refuses(handler):
+                handler.reply_json(503, {"error": "refused"})
+                return
+            if after < self.history_from:
+                handler.reply_json(410, {"error": "history"})
+                return
+            if newer or left_s <= 0:
+                newer.sort(key=lambda row: int(row["ver"]))
+                handler.reply_json(200, self._page(newer))
+                return
+            self.changed.wait(left_s)
+
+    def transact(self, handler: _Handler) -> None:
+        body = json.loads(handler.read_body())
+        with self.changed:
+            if self._refuses(handler):
+                handler.reply_json(503, {"error": "refused"})
+                return
+            for row in body["writes"]:
+                self.version += 1
+                self.rows[row["table"], row["key"]] = row | {"ver": self.version}
+            self.changed.notify_all()
+            handler.reply_json(200, {"ver": self.version, "nowMs": 1})
+
+    def stop(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class UpstreamStandIn:
+    """One upstream: runs requests, one reply function for all."""
+
+    def __init__(
+        self, store: StoreStandIn, name: str, service: str, zone: str, ip: str
+    ) -> None:
+        self.store = store
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.ran: list[tuple[str, str, str, bytes]] = []  # id, method, path, body
+        self.work_s = 0.0
+        # Replaces the answer of a request; None: the usual answer.
+        self.fault: Callable[[_Handler], bool] | None = None
+        upstream = self
+
+        class Handler(_Handler):
+            def do_GET(self) -> None:
+                upstream.run(self)
+
+            def do_POST(self) -> None:
+                upstream.run(self)
+
+        self.server = _start(ip, Handler)
+
+    def register(self, state: str = "ready") -> None:
+        host, port = self.server.server_address[0], self.server.server_address[1]
+        info = {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4}
+        status = {"state": state, "seq": 1, "coldLeftMs": 0}
+        entry = {"address": f"{host!s}:{port}", "info": info, "status": status}
+        self.store.put("servers", self.name, entry)
+
+    def run(self, handler: _Handler) -> None:
+        body = handler.read_body()
+        request_id = handler.headers.get("Attempt-Id", "")
+        if handler.headers.get("Expect-Instance") != self.name:
+            handler.reply(421, b"", {"Attempt-Id": request_id})
+            return
+        if self.fault is not None and self.fault(handler):
+            return
+        self.ran.append((request_id, handler.command, handler.path, body))
+        time.sleep(self.work_s)
+        headers = {
+            "Attempt-Id": request_id,
+            "Server-Seal": "seal",
+            "Server-Load": "1,0,4",
+            "Keep-Alive": "timeout=10",
+        }
+        text = f"{self.name} {handler.path}".encode()
+        handler.reply(200, text, headers)
+
+    def stop(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
--- /dev/null
+++ b/tests/unit/gateway/scene.py
@@ -0,0 +1,69 @@
+"""Upstreams, routes and services for tests of the gateway's decisions."""
+
+from __future__ import annotations
+
+import random
+
+from samphirebend.addresses import Address
+from samphirebend.gateway.budgets import ColdLimit
+from samphirebend.gateway.config import (
+    Backend,
+    RequestKind,
+    Route,
+    ServicePolicy,
+    UpstreamEntry,
+)
+from samphirebend.gateway.placement import Placement, Request
+from samphirebend.gateway.upstreams import Upstream, UpstreamBook
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+
+
+def make_entry(name: str, zone: str = "a1", slots: int = 3) -> UpstreamEntry:
+    entry = UpstreamEntry(name, "s", Address("127.0.0.1", 9000), zone)
+    entry.slots = slots
+    return entry
+
+
+def make_book(count: int = 12, slots: int = 3) -> UpstreamBook:
+    book = UpstreamBook(REGIONS)
+    zones = list(REGIONS)
+    for number in range(count):
+        zone = zones[number % len(zones)]
+        book.put(make_entry(f"u{number}", zone, slots), cold_s=0.0, now=0.0)
+    return book
+
+
+def make_route(kind: RequestKind = RequestKind.IDEMPOTENT) -> Route:
+    route = Route("r", "host", "/r/", kind)
+    route.backends = [Backend("s", 1.0)]
+    route.objective_s = 0.6
+    route.timeout_s = 4.0
+    route.max_attempts = 2
+    return route
+
+
+def make_placement(
+    book: UpstreamBook, region: str = "a", cold_per_s: float = 2.5
+) -> Placement:
+    placement = Placement(region, book, ColdLimit(1.5, 5.0), random.Random(1))
+    policy = ServicePolicy("s")
+    policy.cold_per_s = cold_per_s
+    policy.cold_s = 3.0
+    placement.apply({"s": policy})
+    return placement
+
+
+def make_request(
+    object_key: str = "1", route: Route | None = None, now: float = 0.0
+) -> Request:
+    route = route or make_route()
+    return Request(
+        route, "s", object_key, now + route.objective_s, now + route.timeout_s
+    )
+
+
+def fill(upstream: Upstream, count: int, now: float = 0.0) -> None:
+    """Put requests in flight at an upstream."""
+    for number in range(count):
+        upstream.note_sent(1000 + number, now)
--- /dev/null
+++ b/tests/unit/gateway/test_load.py
@@ -0,0 +1,111 @@
+"""Plays overload against the placement and checks what callers get.
+
+The model has upstreams with slots and a queue, which are three times faster on
+objects that they have handled, as the users' pages describe them. Demand is
+above what the upstreams can serve cold and below what they can serve warm.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from samphirebend.gateway.config import RequestKind
+from samphirebend.gateway.placement import Placed, Placement
+from samphirebend.gateway.upstreams import Upstream, UpstreamBook
+
+from .scene import make_book, make_placement, make_request, make_route
+
+COLD_S = 0.9
+WARM_S = 0.27
+QUEUE = 9
+SECONDS = 30.0
+
+
+class Outcome:
+    """What callers got."""
+
+    __slots__ = ("asked", "late", "on_time", "refused")
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.on_time = 0
+        self.late = 0
+        self.refused = 0
+
+
+class World:
+    """Upstreams that run requests, in simulated time."""
+
+    def __init__(self, book: UpstreamBook, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.free_at = {item.name: [0.0] * item.slots for item in book.all()}
+        self.known: dict[str, set[str]] = {item.name: set() for item in book.all()}
+
+    def run(self, upstream: Upstream, key: str, now: float) -> float | None:
+        """Return when a request ends; None if the upstream sheds it."""
+        slots = self.free_at[upstream.name]
+        if sum(1 for at in slots if at > now) > len(slots) + QUEUE:
+            return None
+        starts = max(now, heapq.heappop(slots))
+        work_s = WARM_S if key in self.known[upstream.name] else COLD_S
+        ends = starts + work_s * self.rng.uniform(0.85, 1.15)
+        heapq.heappush(slots, ends)
+        self.known[upstream.name].add(key)
+        return ends
+
+
+def play(rate: float, objects: int, hosts: int = 3, seed: int = 1) -> Outcome:
+    """Play requests to one service through several hosts."""
+    books = [make_book(14) for _ in range(hosts)]
+    placements: list[Placement] = [
+        make_placement(book, region) for book, region in zip(books, "abc", strict=True)
+    ]
+    world, outcome = World(books[0], seed), Outcome()
+    route = make_route(RequestKind.IDEMPOTENT)
+    ending: list[tuple[float, int, int, float, str, Upstream, bool]] = []
+    now, number = 0.0, 0
+    while now < SECONDS:
+        now += world.rng.expovariate(rate)
+        number += 1
+        while ending and ending[0][0] <= now:
+            ends, ended, _host, begun, key, upstream, queued = heapq.heappop(ending)
+            sent_at = upstream.note_end(ended)
+            assert sent_at is not None
+            running = sum(1 for at in world.free_at[upstream.name] if at > ends)
+            upstream.note_report(running + 1, ends)
+            upstream.note_answer(ends - sent_at, key, queued, ends)
+            if ends - begun <= route.objective_s:
+                outcome.on_time += 1
+            else:
+                outcome.late += 1
+        outcome.asked += 1
+        host = world.rng.randrange(hosts)
+        key = str(world.rng.randrange(objects))
+        choice = placements[host].choose(make_request(key, route, now), hosts, now)
+        if not isinstance(choice, Placed):
+            outcome.refused += 1
+            continue
+        done = world.run(choice.upstream, key, now)
+        if done is None:
+            outcome.refused += 1
+            continue
+        choice.upstream.note_sent(number, now)
+        heapq.heappush(
+            ending, (done, number, host, now, key, choice.upstream, choice.queued)
+        )
+    return outcome
+
+
+def test_demand_above_the_cold_capacity_is_served_on_time_when_warm() -> None:
+    # 42 slots serve 47 requests a second cold and 156 warm.
+    outcome = play(rate=75.0, objects=72)
+    assert outcome.on_time >= 0.8 * outcome.asked
+    assert outcome.refused <= 0.1 * outcome.asked
+
+
+def test_demand_above_all_capacity_is_refused_rather_than_served_late() -> None:
+    outcome = play(rate=220.0, objects=72)
+    most = 42 / WARM_S * SECONDS
+    assert outcome.on_time >= 0.5 * most
+    assert outcome.refused > outcome.late
--- /dev/null
+++ b/tests/unit/gateway/test_members.py
@@ -0,0 +1,65 @@
+"""Guards whom callers are sent to, and the count of hosts that share limits."""
+
+from __future__ import annotations
+
+import random
+
+from samphirebend.addresses import Address
+from samphirebend.gateway.members import LIVE_S, UNKNOWN_HOSTS, Member, Members
+
+
+def make_member(
+    host: str, region: str, ready: bool = True, sequence: int = 1
+) -> Member:
+    member = Member(host, region + "1", region)
+    member.front = Address("127.0.0.1", 1000 + ord(host[-1]))
+    member.ready = ready
+    member.incarnation = 1
+    member.sequence = sequence
+    return member
+
+
+def make_members() -> Members:
+    return Members(make_member("h0", "a"), random.Random(1))
+
+
+def ports(members: Members, region: str, homes: frozenset[str], now: float) -> set[int]:
+    found = members.addresses(region, homes, now)
+    return {address.port - 1000 - ord("0") for address in found}
+
+
+def test_callers_are_sent_to_ready_hosts_of_their_region() -> None:
+    members = make_members()
+    members.note_heartbeat(make_member("h1", "a"), 10.0)
+    members.note_heartbeat(make_member("h2", "b"), 10.0)
+    members.note_heartbeat(make_member("h3", "a", ready=False), 10.0)
+    assert ports(members, "a", frozenset(), 10.5) == {0, 1}
+    assert ports(members, "b", frozenset(), 10.5) == {2}
+
+
+def test_a_silent_host_is_no_longer_named() -> None:
+    members = make_members()
+    members.note_heartbeat(make_member("h1", "a"), 10.0)
+    assert ports(members, "a", frozenset(), 10.0 + LIVE_S + 0.1) == {0}
+
+
+def test_callers_of_a_lost_region_go_to_the_home_regions() -> None:
+    members = make_members()
+    members.note_heartbeat(make_member("h2", "b"), 10.0)
+    assert ports(members, "c", frozenset({"b"}), 10.5) == {2}
+    assert ports(members, "c", frozenset(), 10.5) == {0, 2}
+
+
+def test_an_old_heartbeat_does_not_undo_a_newer_one() -> None:
+    members = make_members()
+    assert members.note_heartbeat(make_member("h1", "a", False, sequence=5), 10.0)
+    assert not members.note_heartbeat(make_member("h1", "a", True, sequence=4), 10.1)
+    assert ports(members, "a", frozenset(), 10.2) == {0}
+
+
+def test_shares_are_small_until_the_other_hosts_are_known() -> None:
+    members = make_members()
+    assert members.count() == UNKNOWN_HOSTS
+    members.note_listed(make_member("h1", "a"))
+    members.listed = True
+    assert members.count() == 2
--- /dev/null
+++ b/tests/unit/gateway/test_placement.py
@@ -0,0 +1,186 @@
+"""Guards placing: few upstreams an object, no cold work when full, early refusal."""
+
+from __future__ import annotations
+
+import random
+
+from samphirebend.gateway.config import RequestKind
+from samphirebend.gateway.placement import Placed, Refused
+from samphirebend.gateway.ranking import rank
+
+from .scene import (
+    fill,
+    make_book,
+    make_entry,
+    make_placement,
+    make_request,
+    make_route,
+)
+
+
+def test_hosts_of_all_regions_place_an_object_alike() -> None:
+    book = make_book()
+    for key in map(str, range(20)):
+        chosen = set()
+        for region in ("a", "b", "c"):
+            choice = make_placement(book, region).choose(make_request(key), 7, 0.0)
+            assert isinstance(choice, Placed)
+            chosen.add(choice.upstream.name)
+        assert len(chosen) == 1
+
+
+def test_uploads_stay_in_the_region_of_the_host() -> None:
+    book = make_book()
+    route = make_route(RequestKind.UPLOAD)
+    for region in ("a", "b", "c"):
+        placement = make_placement(book, region)
+        for key in map(str, range(20)):
+            choice = placement.choose(make_request(key, route), 7, 0.0)
+            assert isinstance(choice, Placed)
+            assert choice.upstream.region == region
+
+
+def test_routes_with_home_regions_are_served_there_only() -> None:
+    route = make_route()
+    route.home_regions = frozenset({"b"})
+    placement = make_placement(make_book(), "a")
+    for key in map(str, range(20)):
+        choice = placement.choose(make_request(key, route), 7, 0.0)
+        assert isinstance(choice, Placed)
+        assert choice.upstream.region == "b"
+
+
+def test_a_lost_upstream_moves_only_its_objects() -> None:
+    book = make_book()
+    keys = list(map(str, range(200)))
+    before = {key: rank(key, book.usable("s"))[0].name for key in keys}
+    book.remove("u3", 1.0)
+    after = {key: rank(key, book.usable("s"))[0].name for key in keys}
+    moved = [key for key in keys if before[key] != after[key]]
+    assert moved
+    assert all(before[key] == "u3" for key in moved)
+
+
+def test_evacuated_and_draining_upstreams_get_nothing() -> None:
+    book = make_book()
+    book.evacuate("a1", True, 3.0, 0.0)
+    draining = make_entry("u1", "a2")
+    draining.draining = True
+    book.put(draining, 0.0, 0.0)
+    placement = make_placement(book)
+    for key in map(str, range(100)):
+        choice = placement.choose(make_request(key), 7, 0.0)
+        assert isinstance(choice, Placed)
+        assert choice.upstream.entry.zone != "a1"
+        assert choice.upstream.name != "u1"
+
+
+def test_a_full_service_refuses_at_once_and_tells_when_to_return() -> None:
+    book = make_book()
+    for upstream in book.all():
+        fill(upstream, 12)
+    choice = make_placement(book).choose(make_request(), 7, 0.0)
+    assert isinstance(choice, Refused)
+    assert 0.0 < choice.retry_after_s < 4.0
+
+
+def test_no_upstream_that_does_not_know_the_object_is_used_when_it_is_busy() -> None:
+    # Work on an unknown object takes three times the slot time, so spilling to
+    # busy upstreams raises the demand of an overloaded service further.
+    book = make_book()
+    placement = make_placement(book)
+    placement.choose(make_request(), 7, 0.0)
+    first, second = rank("1", book.usable("s"))[:2]
+    fill(first, 4, now=10.0)
+    fill(second, 2, now=10.0)
+    choice = placement.choose(make_request(now=10.0), 7, 10.0)
+    assert isinstance(choice, Placed)
+    assert choice.upstream is first
+
+
+def test_second_upstream_takes_over_when_it_knows_the_object() -> None:
+    book = make_book()
+    placement = make_placement(book)
+    first, second = rank("1", book.usable("s"))[:2]
+    second.warm["1"] = None
+    fill(first, 4)
+    choice = placement.choose(make_request(), 7, 0.0)
+    assert isinstance(choice, Placed)
+    assert choice.upstream is second
+
+
+def test_a_started_upstream_gets_objects_only_when_it_is_no_longer_cold() -> None:
+    book = make_book()
+    entry = make_entry("new", "a1")
+    entry.cold_left_s = 3.0
+    book.put(entry, 3.0, 10.0)
+    placement = make_placement(book)
+
+    def chosen(now: float) -> set[str]:
+        names = set()
+        for key in map(str, range(200)):
+            choice = placement.choose(make_request(key, now=now), 7, now)
+            assert isinstance(choice, Placed)
+            names.add(choice.upstream.name)
+        return names
+
+    assert "new" not in chosen(11.0)
+    assert "new" in chosen(13.5)
+
+
+def test_cold_upstreams_stay_under_their_rate_when_all_are_cold() -> None:
+    # All hosts together must keep the limit also when they do not hear each other.
+    book = make_book(1)
+    upstream = next(iter(book.all()))
+    upstream.cold_until = 100.0
+    sent = 0
+    for _host in range(7):
+        placement = make_placement(book, cold_per_s=2.5)
+        for step in range(100):
+            now = 1.0 + step / 101
+            choice = placement.choose(make_request(str(step)), 7, now)
+            if isinstance(choice, Placed):
+                placement._cold.note_sent(choice.upstream.name, now)
+                sent += 1
+    assert 0 < sent <= 2.5 * 1.5 + 5
+
+
+def test_upstreams_that_all_fail_alike_keep_their_objects() -> None:
+    book = make_book()
+    rng = random.Random(3)
+    for upstream in book.all():
+        for _ in range(30):
+            if rng.random() < 0.5:
+                upstream.note_failure(0.0)
+            else:
+                upstream.note_answer(0.2, "1", False, 0.0)
+    placement = make_placement(book)
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    for key in map(str, range(50)):
+        choice = placement.choose(make_request(key, route), 7, 5.0)
+        assert isinstance(choice, Placed)
+        assert choice.upstream in rank(key, book.usable("s"))[:2]
+
+
+def test_an_upstream_without_connections_is_left_and_tried_again() -> None:
+    book = make_book()
+    first = rank("1", book.usable("s"))[0]
+    first.note_unreachable(0.0)
+    placement = make_placement(book)
+    choice = placement.choose(make_request(), 7, 0.1)
+    assert isinstance(choice, Placed)
+    assert choice.upstream is not first
+    later = placement.choose(make_request(now=2.0), 7, 2.0)
+    assert isinstance(later, Placed)
+    assert later.upstream is first
+
+
+def test_a_silent_upstream_gets_no_more_requests() -> None:
+    book = make_book()
+    first = rank("1", book.usable("s"))[0]
+    fill(first, 1, now=0.0)
+    choice = make_placement(book).choose(
+        make_request(route=make_route(RequestKind.NON_IDEMPOTENT)), 7, 5.0
+    )
+    assert isinstance(choice, Placed)
+    assert choice.upstream is not first
--- /dev/null
+++ b/tests/unit/platform/test_records.py
@@ -0,0 +1,122 @@
+"""Guards the decoding of rows: typed values, and a fault with the field's path."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from samphirebend.gateway.config import RequestKind
+from samphirebend.gateway.news import (
+    ConfigNews,
+    EvacuationNews,
+    OtherNews,
+    UnreadableNews,
+    UpstreamGone,
+    UpstreamNews,
+)
+from samphirebend.gateway.replica import Row
+from samphirebend.platform.records import decode_row
+
+ROUTE: dict[str, Any] = {
+    "host": "h.example",
+    "prefix": "/p/",
+    "kind": "non_idempotent",
+    "timeoutMs": 2500,
+    "sloMs": 400,
+    "priority": 1,
+    "backends": [{"service": "s", "weight": 90}, {"service": "t", "weight": 0}],
+    "maxAttempts": 2,
+    "sticky": True,
+    "homeRegions": ["a"],
+}
+SERVICE = {"healthPath": "/health", "maxConns": 330, "coldStartS": 3.0, "coldPerS": 9.1}
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 1000,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+ENTRY: dict[str, Any] = {
+    "address": "10.0.0.1:80",
+    "info": {"service": "s", "version": "v1", "zone": "z", "slots": 4},
+    "status": {"state": "ready", "seq": 4, "coldLeftMs": 1500},
+    "born": 1700000000000,
+}
+
+
+def make_config(**route: Any) -> bytes:
+    resources = [
+        {"resourceKind": "routes", "metadata": {"name": "r"}, "spec": ROUTE | route},
+        {"resourceKind": "services", "metadata": {"name": "s"}, "spec": SERVICE},
+        {"resourceKind": "limits", "metadata": {}, "spec": LIMITS},
+    ]
+    return json.dumps({"version": "0000000c", "resources": resources}).encode()
+
+
+def test_a_configuration_is_decoded() -> None:
+    news = decode_row(Row("op", "config", make_config(), 3))
+    assert isinstance(news, ConfigNews)
+    config, route = news.config, news.config.routes[0]
+    assert config.version == 12
+    assert route.kind is RequestKind.NON_IDEMPOTENT
+    assert (route.timeout_s, route.objective_s) == (2.5, 0.4)
+    assert [backend.service for backend in route.backends] == ["s"]
+    assert route.home_regions == {"a"}
+    assert config.services["s"].cold_per_s == 9.1
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    ("fields", "path"),
+    [
+        ({"kind": "other"}, "resources[0].kind"),
+        ({"timeoutMs": "soon"}, "resources[0].timeoutMs"),
+        ({"maxAttempts": 0}, "resources[0].maxAttempts"),
+        ({"backends": [{"service": "s", "weight": 0}]}, "resources[0].backends"),
+        ({"homeRegions": "a"}, "resources[0].homeRegions"),
+    ],
+)
+def test_a_fault_in_a_configuration_names_its_field(
+    fields: dict[str, Any], path: str
+) -> None:
+    news = decode_row(Row("op", "config", make_config(**fields), 3))
+    assert isinstance(news, UnreadableNews)
+    assert path in news.fault
+
+
+def test_an_upstream_entry_is_decoded() -> None:
+    news = decode_row(Row("servers", "i-1", json.dumps(ENTRY).encode(), 3))
+    assert isinstance(news, UpstreamNews)
+    entry = news.entry
+    assert (entry.upstream, entry.service, entry.slots) == ("i-1", "s", 4)
+    assert (entry.draining, entry.cold_left_s) == (False, 1.5)
+    assert entry.born_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        json.dumps(ENTRY | {"address": "nowhere"}).encode(),
+        json.dumps(ENTRY | {"info": {"service": "s"}}).encode(),
+        json.dumps(ENTRY | {"status": ENTRY["status"] | {"state": "odd"}}).encode(),
+        json.dumps(ENTRY | {"status": ENTRY["status"] | {"coldLeftMs": "1"}}).encode(),
+        json.dumps(ENTRY | {"born": 1.5}).encode(),
+    ],
+)
+def test_a_foreign_upstream_entry_names_no_upstream(value: bytes) -> None:
+    news = decode_row(Row("servers", "i-1", value, 3))
+    assert isinstance(news, UnreadableNews)
+
+
+def test_removed_rows_and_evacuations() -> None:
+    gone = decode_row(Row("servers", "i-1", None, 3))
+    assert isinstance(gone, UpstreamGone)
+    for value, active in ((b"{}", True), (None, False)):
+        news = decode_row(Row("op", "evacuate/z", value, 3))
+        assert isinstance(news, EvacuationNews)
+        assert (news.zone, news.active) == ("z", active)
+    assert isinstance(decode_row(Row("op", "unknown", b"{}", 3)), OtherNews)
--- /dev/null
+++ b/tests/unit/platform/test_settings.py
@@ -0,0 +1,59 @@
+"""Guards the decoding of the settings file and the messages about its faults."""
+
+from __future__ import annotations
+
+import pytest
+from result import Err
+
+from samphirebend.platform.settings import decode_settings
+
+SETTINGS = """
+[self]
+node = "front-1"
+serves = ["front", "directory"]
+ip = "127.0.0.1"
+zone = "a1"
+region = "a"
+[network]
+portRange = [7540, 7555]
+seeds = ["127.0.0.2:8544"]
+[network.listen]
+front = "127.0.0.1:8548"
+ready = "127.0.0.1:8542"
+directory = "127.0.0.1:8546"
+[network.zones]
+a1 = "a"
+[provider.provider]
+address = "127.0.0.9:8541"
+[terms.bounds]
+budgetRatio = 0.3
+graceS = 5
+unknown = 1
+"""
+
+
+def test_settings_are_decoded() -> None:
+    cfg = decode_settings(SETTINGS).unwrap()
+    assert (cfg.host, cfg.zone, cfg.region) == ("front-1", "a1", "a")
+    assert str(cfg.front) == "127.0.0.1:8548"
+    assert str(cfg.peer) == "127.0.0.1:7540"
+    assert [str(seed) for seed in cfg.seeds] == ["127.0.0.2:7540"]
+    assert str(cfg.store.address) == "127.0.0.9:8541"
+    assert (cfg.bounds.retry_ratio, cfg.bounds.stop_grace_s) == (0.3, 5)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path"),
+    [
+        ('node = "front-1"', "", "self.node"),
+        ("7540, 7555", "", "network.portRange"),
+        ('"127.0.0.2:8544"', '"nowhere"', "network.seeds"),
+        ("budgetRatio = 0.3", 'budgetRatio = "x"', "terms.bounds.budgetRatio"),
+        ('front = "127.0.0.1:8548"', 'front = "x"', "network.listen.front"),
+        ("[self]", "[self", "line"),
+    ],
+)
+def test_a_fault_names_its_field(old: str, new: str, path: str) -> None:
+    read = decode_settings(SETTINGS.replace(old, new))
+    assert isinstance(read, Err)
+    assert path in read.err_value
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from samphirebend.addresses import Address
 from samphirebend.errorcodes import ErrorKind
@@ -318,3 +319,125 @@
     assert list(reactor.writers) == [descriptor]
     assert isinstance(descriptor.doWrite(), ConnectionDone)
     assert descriptor.sent == b"message"
+
+
+# Requests read ahead of their answers.
+
+
+@pytest.fixture
+def serve_ahead() -> Iterator[Serve]:
+    """Return a function that gives data to a connection that reads ahead."""
+    opened: list[HttpServerProtocol] = []
+
+    def start(data: bytes) -> Served:
+        seen: list[ServerRequest] = []
+        conn = HttpServerProtocol(HttpServer(seen.append, max_pipelined=4))
+        opened.append(conn)
+        transport = Transport()
+        conn.makeConnection(transport)
+        conn.dataReceived(data)
+        return conn, transport, seen
+
+    yield start
+    for conn in opened:
+        conn.setTimeout(None)
+
+
+def test_pipelined_requests_are_handled_together_and_answered_in_order(
+    serve_ahead: Serve,
+) -> None:
+    _, transport, seen = serve_ahead(GET + GET.replace(b"/a", b"/b") + GET)
+    assert [req.target for req in seen] == ["/a", "/b", "/a"]
+    seen[1].respond(200, [], b"second")
+    seen[2].start(200, [(b"Content-Length", b"5")])
+    seen[2].write(b"third")
+    seen[2].finish()
+    assert transport.value() == b""
+    seen[0].respond(200, [], b"first")
+    sent = transport.value()
+    assert sent.index(b"first") < sent.index(b"second") < sent.index(b"third")
+
+
+def test_a_request_that_may_not_repeat_waits_for_those_ahead(
+    serve_ahead: Serve,
+) -> None:
+    # A caller sends it again if the answer ahead of it closes the connection.
+    post = b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+    _, _, seen = serve_ahead(GET + post + GET)
+    assert [req.target for req in seen] == ["/a"]
+    seen[0].respond(200, [], b"")
+    assert [req.target for req in seen] == ["/a", "/p", "/a"]
+
+
+def test_a_stopping_server_answers_what_it_has_read(serve_ahead: Serve) -> None:
+    conn, transport, seen = serve_ahead(GET + GET.replace(b"/a", b"/b"))
+    conn._server.draining = True
+    seen[0].respond(200, [], b"first")
+    assert b"close" not in transport.value()
+    seen[1].respond(200, [], b"second")
+    assert b"Connection: close" in transport.value()
+
+
+def test_reading_stops_while_too_many_requests_wait(serve_ahead: Serve) -> None:
+    _, transport, seen = serve_ahead(GET * 6)
+    assert len(seen) == 4
+    assert transport.producerState == "paused"
+    seen[0].respond(200, [], b"")
+    assert len(seen) == 5
+
+
+# Answers that belong to another request, and bodies without a length.
+
+
+def accepting(own: bytes) -> tuple[ClientConnection, Transport, Sink]:
+    conn = ClientConnection(Mock(spec=["put_back", "note_closed", "forget"]))
+    transport, sink = Transport(), Sink()
+    conn.makeConnection(transport)
+    conn.send(
+        "POST",
+        "/",
+        [(b"Host", b"x"), (b"Content-Length", b"3")],
+        b"abc",
+        sink,
+        accepts=lambda head: head.header.get(b"id") == own,
+        unframed_allowed=True,
+    )
+    return conn, transport, sink
+
+
+def test_a_late_answer_to_an_earlier_request_is_skipped() -> None:
+    conn, _, sink = accepting(b"2")
+    late = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold"
+    own = b"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew"
+    for cut in range(0, len(late), 7):
+        conn.dataReceived(late[cut : cut + 7])
+    assert (sink.data, sink.ended, sink.failed) == (b"", 0, [])
+    conn.dataReceived(own)
+    assert (sink.data, sink.ended) == (b"new", 1)
+
+
+def test_a_body_without_length_ends_with_the_connection() -> None:
+    conn, _, sink = accepting(b"2")
+    conn.dataReceived(b"HTTP/1.1 200 OK\r\nId: 2\r\n\r\nabc")
+    assert sink.ended == 0
+    conn.connectionLost(Failure(ConnectionDone()))
+    assert (sink.data, sink.ended, sink.failed) == (b"abc", 1, [])
+
+
+def test_a_body_without_length_that_is_reset_is_not_whole() -> None:
+    conn, _, sink = accepting(b"2")
+    conn.dataReceived(b"HTTP/1.1 200 OK\r\nId: 2\r\n\r\nabc")
+    conn.connectionLost(Failure(ConnectionLost()))
+    assert (sink.ended, sink.failed) == (0, [ErrorKind.ANSWER_TRUNCATED])
+
+
+def test_a_connection_idle_for_too_long_is_not_used_for_some_requests() -> None:
+    now = [0.0]
+    pool = ConnectionPool(None, lambda: now[0])
+    conn, transport, _ = client()
+    target = (Address("127.0.0.1", 1), "")
+    pool.add_idle(target, conn)
+    now[0] = 1.0
+    assert pool._take_idle(target, 0.8) is None
+    assert not transport.aborted
+    assert pool._take_idle(target, 4.0) is conn
