Bound the gateway's log, explain requests from logs, and share cold limits at any size

Cause: logs were written with blocking calls and no bound; a cold upstream's limit divided by 28 hosts is below one request a second, so that no host sent any. Test of the cold limit with 28 hosts fails without the change (0 requests).

--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,71 @@
+"""Slopes of the gateway: heartbeats, members, rankings and the replica by size."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+
+from samphirebend.addresses import Address
+from samphirebend.gateway.config import UpstreamEntry
+from samphirebend.gateway.members import Member, Members
+from samphirebend.gateway.peers import Heartbeat, _encoder, _heartbeats
+from samphirebend.gateway.ranking import rank
+from samphirebend.gateway.replica import Replica, Row
+from samphirebend.gateway.upstreams import Upstream
+
+REPEATS = 5
+
+
+def best_us(work: Callable[[], object], count: int) -> float:
+    """Return the least processor time of one call, in microseconds."""
+    times = []
+    for _ in range(REPEATS):
+        begun = time.process_time()
+        for _ in range(count):
+            work()
+        times.append((time.process_time() - begun) / count)
+    return min(times) * 1e6
+
+
+def make_member(number: int) -> Member:
+    """Return a host that was heard."""
+    member = Member(f"host-{number}", f"zone-{number % 104}", f"region-{number % 35}")
+    member.front, member.ready, member.heard_at = Address("10.0.0.1", 80), True, 1.0
+    member.incarnation = 1
+    return member
+
+
+def main() -> None:
+    """Print the slopes."""
+    beat = Heartbeat("h", "z", "r", "10.0.0.1:1", "10.0.0.1:2", 1, 2, True, {"a": 1})
+    data = _encoder.encode(beat)
+    decode_us = best_us(partial(_heartbeats.decode, data), 10_000)
+    print(f"heartbeat: {len(data)} bytes, decoded in {decode_us:.1f} us")
+    for count in (7, 290, 2900):
+        members = Members(make_member(0), random.Random(1))
+        for number in range(1, count):
+            members.note_heartbeat(make_member(number), 1.0)
+        live_us = best_us(partial(members.live, 1.5), 50)
+        name_us = best_us(partial(members.addresses, "region-1", frozenset(), 1.5), 50)
+        print(f"{count} hosts: live {live_us:.0f} us, look-up answer {name_us:.0f} us")
+    for count in (14, 164, 1200):
+        upstreams = [
+            Upstream(
+                UpstreamEntry(f"u{number}", "s", Address("10.0.0.1", 80), "z"), "r"
+            )
+            for number in range(count)
+        ]
+        rank_us = best_us(partial(rank, "7", upstreams), 50)
+        print(f"{count} upstreams: order of an object {rank_us:.0f} us")
+    for count in (38, 400, 5000):
+        replica = Replica(["t"])
+        rows = [Row("t", str(number), b"x" * 200, number) for number in range(count)]
+        replica.merge("t", rows, count)
+        newest_us = best_us(partial(replica.newest, "t"), 50)
+        print(f"{count} rows: newest version {newest_us:.0f} us")
+
+
+if __name__ == "__main__":
+    main()
--- a/samphirebend/cli.py
+++ b/samphirebend/cli.py
@@ -22,6 +22,7 @@
 from .addresses import Address, parse_address
 from .adminclient import Answer, CallFaultKind, call
 from .exitcodes import ExitCode
+from .explain import find_request
 from .jsonfile import Fault, shorten
 from .manifest import MAX_MANIFEST_BYTES, Host, read_manifest
 from .options import MAX_SETTINGS_BYTES, read_options
@@ -383,5 +384,25 @@
     app(prog_name="samphirebend")
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    logs: Annotated[list[Path], typer.Argument(help="Logs of the processes.")],
+    as_json: JsonOption = False,
+) -> None:
+    """Print what happened to one request, from the logs of all processes."""
+    found = find_request(request_id, logs)
+    if isinstance(found, Err):
+        _fail(ExitCode.INVALID, found.err_value, as_json)
+    lines = found.ok_value
+    if not lines:
+        _fail(ExitCode.NOT_FOUND, f"no line about request {request_id}", as_json)
+    if as_json:
+        _write_json([line.fields for line in lines])
+        return
+    for line in lines:
+        typer.echo(_clean(line.text()))
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/samphirebend/explain.py
@@ -0,0 +1,67 @@
+"""Finds the lines of one request in the logs of several processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+# Fields that every line has; the others tell what decided.
+_COMMON: Final = frozenset(
+    ("time", "level", "module", "message", "host", "event", "request_id")
+)
+
+
+class LogLine:
+    """One line of a request."""
+
+    __slots__ = ("fields", "host", "message", "time")
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self.fields = fields
+        self.time = str(fields.get("time", ""))
+        self.host = str(fields.get("host", ""))
+        self.message = str(fields.get("message", ""))
+
+    def text(self) -> str:
+        """Return the line for people: time, host, what happened and why."""
+        details = " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if name not in _COMMON and value not in (None, "")
+        )
+        return f"{self.time} {self.host} {self.message}: {details}"
+
+
+def find_request(request_id: str, paths: Iterable[Path]) -> Result[list[LogLine], str]:
+    """Return the lines of a request in order of time, or why a file is unreadable."""
+    found = []
+    for path in paths:
+        try:
+            with path.open("rb") as log:
+                found += [
+                    LogLine(fields)
+                    for fields in map(_parse, log)
+                    if fields.get("request_id") == request_id
+                ]
+        except OSError as exc:
+            return Err(f"{path}: {exc.strerror}")
+    return Ok(sorted(found, key=lambda line: line.time))
+
+
+def _parse(line: bytes) -> dict[str, Any]:
+    """Return the fields of a line; none if it is not a structured one.
+
+    A collector may have put a prefix before the line's own text.
+    """
+    start = line.find(b"{")
+    if start < 0:
+        return {}
+    try:
+        fields = msgspec.json.decode(line[start:])
+    except msgspec.DecodeError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -23,6 +23,7 @@
 from .follower import Follower
 from .forward import Gateway
 from .front import Front
+from .logbudget import LogBudget
 from .members import Member, Members
 from .peers import Peers
 from .placement import Placement
@@ -40,6 +41,7 @@
 LIST_RETRY_S: Final = 1.0
 UPKEEP_S: Final = 0.2
 FORGET_GONE_S: Final = 20.0
+LOG_REPORT_S: Final = 1.0
 
 
 class ListedHost(msgspec.Struct):
@@ -60,6 +62,7 @@
         dialect: Dialect,
         store: RowStore,
         tables: Iterable[str],
+        log_budget: LogBudget,
         reactor: Any,
     ) -> None:
         clock, rng = time.monotonic, random.Random()
@@ -67,13 +70,15 @@
         self._reactor = reactor
         self._store = store
         self._stopping = False
+        self._log_budget = log_budget
+        self._log_report_at = 0.0
         self.kernel = Kernel()
         self.metrics = Metrics()
         self.book = UpstreamBook(cfg.regions)
         cold = ColdLimit(cfg.bounds.cold_over, cfg.bounds.cold_slack)
-        placement = Placement(cfg.region, self.book, cold, rng)
-        self.view = View(self.book, placement)
         self.members = Members(_own_member(cfg, rng), rng)
+        placement = Placement(self.book, self.members, cold, rng)
+        self.view = View(self.book, placement)
         self.pool = ConnectionPool(reactor, clock, None, cfg.host_ip, CONNECT_TIMEOUT_S)
         bounds = cfg.bounds
         budget = RetryBudget(
@@ -123,6 +128,7 @@
             bounds.stop_grace_s,
             reactor,
         )
+        self.metrics.before_render(self._set_metrics)
         self.kernel.register("follower", self.follower)
         self.kernel.register("peers", self.peers)
         self.kernel.register("front", self.front)
@@ -192,11 +198,29 @@
     def _keep_up(self) -> None:
         now = time.monotonic()
         self.view.expire_held(now)
+        self._report_dropped_lines(now)
         for name in self.book.forget_gone(now - FORGET_GONE_S):
             self.gateway.cold.forget(name)
             self.pool.close_idle(name)
         self._reactor.callLater(UPKEEP_S, self._keep_up)
 
+    def _set_metrics(self) -> None:
+        now, config = time.monotonic(), self.view.config
+        services = config.services if config is not None else {}
+        hosts = self.members.count()
+        left = {name: self.gateway.budget.left(name, hosts, now) for name in services}
+        version = config.version if config is not None else 0
+        self.metrics.set_gateway(version, now - self.follower.answered_at, left)
+
+    def _report_dropped_lines(self, now: float) -> None:
+        if now < self._log_report_at or not self._log_budget.dropped:
+            return
+        self._log_report_at = now + LOG_REPORT_S
+        dropped = self._log_budget.take_dropped()
+        for event, count in dropped.items():
+            self.metrics.count_dropped_lines(event, count)
+        logger.info("log lines left out", event="log_dropped", lines=dropped)
+
 
 def _own_member(cfg: GatewaySettings, rng: random.Random) -> Member:
     member = Member(cfg.host, cfg.zone, cfg.region)
--- a/samphirebend/gateway/budgets.py
+++ b/samphirebend/gateway/budgets.py
@@ -68,10 +68,20 @@
         self._slack = slack  # requests beyond it
         self._sent: dict[str, deque[float]] = {}
 
-    def allows(self, upstream: str, per_s: float, hosts: int, now: float) -> bool:
-        """Tell whether one more request fits this host's share."""
-        most = int((per_s * self._over + self._slack) * BUDGET_SHARE / max(1, hosts))
-        return len(self._recent(upstream, now)) < most
+    def allows(
+        self, upstream: str, per_s: float, hosts: int, position: int, now: float
+    ) -> bool:
+        """Tell whether one more request fits this host's share.
+
+        `position` is the place of this host in the order of all hosts for the
+        upstream, from 0. Where there are more hosts than requests a second, the
+        first hosts share them.
+        """
+        together = int((per_s * self._over + self._slack) * BUDGET_SHARE)
+        share = together // max(1, hosts)
+        if share == 0 and position < together:
+            share = 1
+        return len(self._recent(upstream, now)) < share
 
     def note_sent(self, upstream: str, now: float) -> None:
         """Count a request to an upstream, cold or not."""
--- a/samphirebend/gateway/follower.py
+++ b/samphirebend/gateway/follower.py
@@ -38,6 +38,7 @@
         "_tables",
         "_up",
         "_view",
+        "answered_at",
         "on_change",
         "replica",
         "running",
@@ -62,6 +63,7 @@
         self._clock = clock
         self._up: dict[str, bool] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.answered_at = 0.0  # last answer of the store
         self.running = False
 
     def start(self) -> None:
@@ -124,6 +126,7 @@
             )
 
     def _note_answer(self, table: str) -> None:
+        self.answered_at = self._clock()
         if not self._up.get(table, False):
             self._up[table] = True
             logger.info(
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -212,8 +212,7 @@
         )
         while not self._over:
             now = self._gateway.reactor.seconds()
-            hosts = self._gateway.members.count()
-            choice = self._gateway.placement.choose(request, hosts, now)
+            choice = self._gateway.placement.choose(request, now)
             if isinstance(choice, Refused):
                 self._give_up(choice)
                 return
@@ -244,19 +243,21 @@
         upstream.note_sent(number, gateway.reactor.seconds())
         try:
             if await attempt.connect(gateway.pool, route.idempotent):
-                self._write(attempt)
+                self._write(attempt, choice)
                 await attempt.done
         finally:
             sent_at = upstream.note_end(number)
         self._note_end(attempt, choice, sent_at)
 
-    def _write(self, attempt: Attempt) -> None:
+    def _write(self, attempt: Attempt, choice: Placed) -> None:
         gateway = self._gateway
         now = gateway.reactor.seconds()
         self._attempts += 1
         if self._attempts > 1:
             gateway.budget.note_repeat(self._service, now)
             gateway.metrics.count_retry(self._service)
+        gateway.metrics.count_placed(self._service, str(choice.rank))
+        gateway.metrics.observe_queue(self._service, choice.wait_s)
         gateway.cold.note_sent(attempt.upstream.name, now)
         self._life.begin_dispatch()
         attempt.send(self._body, max(0.001, self._deadline - now))
--- a/samphirebend/gateway/front.py
+++ b/samphirebend/gateway/front.py
@@ -17,6 +17,7 @@
 
 LOOKUP_TTL_S: Final = 1
 MAX_PIPELINED: Final = 16
+METRICS_PATH: Final = "/metrics"
 _JSON: Final = (b"Content-Type", b"application/json")
 
 
@@ -27,6 +28,7 @@
         "_clock",
         "_dialect",
         "_members",
+        "_metrics",
         "_reactor",
         "_ttl_s",
         "_view",
@@ -48,6 +50,7 @@
         self._dialect = dialect
         self._view = view
         self._members = members
+        self._metrics = gateway.metrics
         self._reactor = reactor
         self._clock = clock
         self._ttl_s = min(LOOKUP_TTL_S, ttl_max_s)
@@ -80,6 +83,9 @@
         lookup = self._dialect.read_lookup(req)
         if lookup is not None:
             self._answer_lookup(req, lookup.name, lookup.region)
+        elif req.target == METRICS_PATH:
+            body, content_type = self._metrics.render()
+            req.respond(200, [(b"Content-Type", content_type.encode())], body)
         elif self._dialect.is_ready_check(req):
             req.respond(200 if self._members.own.ready else 503, [], b"")
         else:
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -5,6 +5,8 @@
 import random
 from typing import Final
 
+import xxhash
+
 from ..addresses import Address
 
 LIVE_S: Final = 1.6  # silence after which callers are sent elsewhere
@@ -43,6 +45,10 @@
         self.news: dict[str, int] = {}  # newest row that it knows, by table
 
 
+def _score(host: str, key: str) -> int:
+    return int(xxhash.xxh3_64_intdigest(f"{host}/{key}".encode()))
+
+
 class Members:
     """All known hosts and this one."""
 
@@ -84,6 +90,11 @@
         known = len(self._others) + 1
         return known if self.listed else max(known, UNKNOWN_HOSTS)
 
+    def position(self, key: str) -> int:
+        """Return the place of this host in the order of all hosts for a key."""
+        own = _score(self.own.host, key)
+        return sum(_score(host, key) > own for host in self._others)
+
     def forget_silent(self, now: float) -> None:
         """Drop hosts that have been silent for long."""
         for host, item in list(self._others.items()):
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -15,6 +15,7 @@
 
 from .budgets import ColdLimit
 from .config import RequestKind, Route, ServicePolicy
+from .members import Members
 from .ranking import Rankings
 from .upstreams import Health, ServiceNorm, Upstream, UpstreamBook
 
@@ -87,26 +88,32 @@
     __slots__ = (
         "_book",
         "_cold",
+        "_members",
         "_policies",
         "_rankings",
         "_rng",
     )
 
     def __init__(
-        self, region: str, book: UpstreamBook, cold: ColdLimit, rng: random.Random
+        self,
+        book: UpstreamBook,
+        members: Members,
+        cold: ColdLimit,
+        rng: random.Random,
     ) -> None:
         self._book = book
         self._cold = cold
         self._rng = rng
         self._policies: dict[str, ServicePolicy] = {}
-        self._rankings = Rankings(region, book)
+        self._members = members  # share the limit of cold upstreams
+        self._rankings = Rankings(members.own.region, book)
 
     def apply(self, policies: dict[str, ServicePolicy]) -> None:
         """Take the services of a configuration."""
         self._policies = policies
 
-    def choose(self, request: Request, hosts: int, now: float) -> Placed | Refused:
-        """Return where the request goes; `hosts` share the cold upstreams."""
+    def choose(self, request: Request, now: float) -> Placed | Refused:
+        """Return where the request goes."""
         self._book.note_request(request.service, now)
         norm = self._book.norm(request.service, now)
         ranked = [
@@ -117,7 +124,7 @@
                 request.route.home_regions,
                 near_first=request.route.kind is RequestKind.UPLOAD,
             )
-            if item.name not in request.tried and self._warm_enough(item, hosts, now)
+            if item.name not in request.tried and self._warm_enough(item, now)
         ]
         if not ranked:
             return self._refuse("no-upstream", MIN_RETRY_AFTER_S)
@@ -136,13 +143,16 @@
         shortest_s = min(option.wait_s for option in options)
         return self._refuse("upstreams-full", shortest_s)
 
-    def _warm_enough(self, upstream: Upstream, hosts: int, now: float) -> bool:
+    def _warm_enough(self, upstream: Upstream, now: float) -> bool:
         if not upstream.is_cold(now):
             return True
         policy = self._policies.get(upstream.entry.service)
         if policy is None or not policy.cold_per_s:
             return True
-        return self._cold.allows(upstream.name, policy.cold_per_s, hosts, now)
+        position = self._members.position(upstream.name)
+        return self._cold.allows(
+            upstream.name, policy.cold_per_s, self._members.count(), position, now
+        )
 
     def _trial(
         self, ranked: list[Upstream], request: Request, norm: ServiceNorm, now: float
--- a/samphirebend/logs.py
+++ b/samphirebend/logs.py
@@ -11,7 +11,7 @@
 import traceback
 from collections.abc import Callable
 from types import TracebackType
-from typing import TYPE_CHECKING, Final, TextIO, cast
+from typing import TYPE_CHECKING, Final, Protocol, cast
 
 import msgspec
 from loguru import logger
@@ -44,15 +44,26 @@
 }
 
 
+class LineStream(Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str, /) -> object: ...
+
+    def flush(self) -> object: ...
+
+
 def set_up_logs(
     level: str,
     form: str,
     host: str,
-    stream: TextIO,
+    stream: LineStream,
     beginner: LogBeginner | None = globalLogBeginner,
+    admits: Callable[[Record], bool] | None = None,
 ) -> None:
     """Send all log records to a stream; `form` is "human" or "json".
 
+    `admits` tells which records are written; None: all.
+
     Call once per process, because Twisted's log can be started only once; pass
     no beginner to leave it alone.
     """
@@ -64,7 +75,14 @@
 
     logger.remove()
     # Values of variables may be payloads or keys, so `diagnose` stays off.
-    logger.add(sink, level=level, format="{message}", diagnose=False, backtrace=False)
+    logger.add(
+        sink,
+        level=level,
+        format="{message}",
+        filter=admits,
+        diagnose=False,
+        backtrace=False,
+    )
     logger.configure(extra={"host": host})
     if beginner is not None:
         observer = cast(ILogObserver, TwistedObserver())
--- a/samphirebend/metrics.py
+++ b/samphirebend/metrics.py
@@ -220,6 +220,31 @@
             "peers_live", "Other hosts heard from within 1.5 s."
         )
 
+        self._dropped_lines = self._counter(
+            "log_lines_dropped_total", "Log lines left out, by event.", "event"
+        )
+        self._placed = self._counter(
+            "tries_total",
+            "Tries by service and place of the upstream in the object's order.",
+            "service",
+            "place",
+        )
+        self._queue = self._histogram(
+            "upstream_queue_seconds",
+            "Expected time in the queue of the chosen upstream.",
+            _DURATION_BOUNDS_S,
+            "service",
+        )
+        self._config_version = self._gauge(
+            "config_version", "Version of the configuration in force, 0 for none."
+        )
+        self._store_age = self._gauge(
+            "store_answer_age_seconds", "Time since the store answered last."
+        )
+        self._budget_left = self._gauge(
+            "retry_budget_left", "Repeats that this host may still make.", "service"
+        )
+
     def _counter(self, name: str, doc: str, *labels: str) -> _Numbers:
         collector = Counter(PREFIX + name, doc, registry=self._registry)
         return self._add_numbers(collector, labels)
@@ -302,6 +327,27 @@
         for upstream, age_s in ages_s.items():
             self._measurement_age.set((upstream,), age_s)
 
+    def count_dropped_lines(self, event: str, count: int) -> None:
+        """Count log lines that were left out."""
+        self._dropped_lines.add((event,), count)
+
+    def count_placed(self, service: str, place: str) -> None:
+        """Count one try by the place of its upstream in the object's order."""
+        self._placed.add((service, place))
+
+    def observe_queue(self, service: str, seconds: float) -> None:
+        """Count the expected time in an upstream's queue of one try."""
+        self._queue.observe((service,), seconds)
+
+    def set_gateway(
+        self, config_version: int, store_age_s: float, budget_left: dict[str, float]
+    ) -> None:
+        """Set what a gateway host believes now."""
+        self._config_version.set((), config_version)
+        self._store_age.set((), store_age_s)
+        for service, left in budget_left.items():
+            self._budget_left.set((service,), left)
+
     def set_manifest_version(self, version: int) -> None:
         """Set the manifest version in force."""
         self._manifest_version.set((), version)
--- a/samphirebend/platform/__main__.py
+++ b/samphirebend/platform/__main__.py
@@ -12,6 +12,7 @@
 
 from ..collector import limit_collections
 from ..gateway.app import App, run_app
+from ..gateway.logbudget import LogBudget, NonBlockingStream, event_of
 from ..logs import set_up_logs
 from . import exchanges
 from .records import TABLES
@@ -34,7 +35,14 @@
         sys.stderr.write(f"{path}: {read.err_value}\n")
         return EXIT_BAD_SETTINGS
     cfg = read.ok_value
-    set_up_logs("INFO", "json", cfg.host, sys.stdout)
+    budget = LogBudget()
+    set_up_logs(
+        "INFO",
+        "json",
+        cfg.host,
+        NonBlockingStream(sys.stdout.fileno(), budget),
+        admits=lambda record: budget.admits(event_of(record), time.monotonic()),
+    )
 
     from twisted.internet import reactor as installed_reactor
 
@@ -42,7 +50,7 @@
     # Twisted's timers follow the wall clock by default, which may be set.
     reactor.seconds = time.monotonic
     store = make_platform_store(cfg.store.address, reactor, time.monotonic, cfg.host_ip)
-    app = App(cfg, exchanges, store, TABLES, reactor)
+    app = App(cfg, exchanges, store, TABLES, budget, reactor)
     limit_collections()
     return run_app(app, reactor)
 
--- a/tests/unit/gateway/scene.py
+++ b/tests/unit/gateway/scene.py
@@ -13,6 +13,7 @@
     ServicePolicy,
     UpstreamEntry,
 )
+from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.placement import Placement, Request
 from samphirebend.gateway.upstreams import Upstream, UpstreamBook
 
@@ -44,9 +45,17 @@
 
 
 def make_placement(
-    book: UpstreamBook, region: str = "a", cold_per_s: float = 2.5
+    book: UpstreamBook,
+    region: str = "a",
+    cold_per_s: float = 2.5,
+    host: int = 0,
+    hosts: int = 7,
 ) -> Placement:
-    placement = Placement(region, book, ColdLimit(1.5, 5.0), random.Random(1))
+    members = Members(Member(f"h{host}", region + "1", region), random.Random(1))
+    for number in range(hosts):
+        members.note_listed(Member(f"h{number}", "a1", "a"))
+    members.listed = True
+    placement = Placement(book, members, ColdLimit(1.5, 5.0), random.Random(1))
     policy = ServicePolicy("s")
     policy.cold_per_s = cold_per_s
     policy.cold_s = 3.0
--- a/tests/unit/gateway/test_budgets.py
+++ b/tests/unit/gateway/test_budgets.py
@@ -40,7 +40,7 @@
     sent = []
     for step in range(400):
         now = step * 0.01
-        if limit.allows("u", 9.1, HOSTS, now):
+        if limit.allows("u", 9.1, HOSTS, 0, now):
             limit.note_sent("u", now)
             sent.append(now)
     for end in sent:
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -4,6 +4,8 @@
 
 import random
 
+import pytest
+
 from samphirebend.gateway.config import RequestKind
 from samphirebend.gateway.placement import Placed, Refused
 from samphirebend.gateway.ranking import rank
@@ -23,7 +25,7 @@
     for key in map(str, range(20)):
         chosen = set()
         for region in ("a", "b", "c"):
-            choice = make_placement(book, region).choose(make_request(key), 7, 0.0)
+            choice = make_placement(book, region).choose(make_request(key), 0.0)
             assert isinstance(choice, Placed)
             chosen.add(choice.upstream.name)
         assert len(chosen) == 1
@@ -35,7 +37,7 @@
     for region in ("a", "b", "c"):
         placement = make_placement(book, region)
         for key in map(str, range(20)):
-            choice = placement.choose(make_request(key, route), 7, 0.0)
+            choice = placement.choose(make_request(key, route), 0.0)
             assert isinstance(choice, Placed)
             assert choice.upstream.region == region
 
@@ -45,7 +47,7 @@
     route.home_regions = frozenset({"b"})
     placement = make_placement(make_book(), "a")
     for key in map(str, range(20)):
-        choice = placement.choose(make_request(key, route), 7, 0.0)
+        choice = placement.choose(make_request(key, route), 0.0)
         assert isinstance(choice, Placed)
         assert choice.upstream.region == "b"
 
@@ -69,7 +71,7 @@
     book.put(draining, 0.0, 0.0)
     placement = make_placement(book)
     for key in map(str, range(100)):
-        choice = placement.choose(make_request(key), 7, 0.0)
+        choice = placement.choose(make_request(key), 0.0)
         assert isinstance(choice, Placed)
         assert choice.upstream.entry.zone != "a1"
         assert choice.upstream.name != "u1"
@@ -79,7 +81,7 @@
     book = make_book()
     for upstream in book.all():
         fill(upstream, 12)
-    choice = make_placement(book).choose(make_request(), 7, 0.0)
+    choice = make_placement(book).choose(make_request(), 0.0)
     assert isinstance(choice, Refused)
     assert 0.0 < choice.retry_after_s < 4.0
 
@@ -89,11 +91,11 @@
     # busy upstreams raises the demand of an overloaded service further.
     book = make_book()
     placement = make_placement(book)
-    placement.choose(make_request(), 7, 0.0)
+    placement.choose(make_request(), 0.0)
     first, second = rank("1", book.usable("s"))[:2]
     fill(first, 4, now=10.0)
     fill(second, 2, now=10.0)
-    choice = placement.choose(make_request(now=10.0), 7, 10.0)
+    choice = placement.choose(make_request(now=10.0), 10.0)
     assert isinstance(choice, Placed)
     assert choice.upstream is first
 
@@ -104,7 +106,7 @@
     first, second = rank("1", book.usable("s"))[:2]
     second.warm["1"] = None
     fill(first, 4)
-    choice = placement.choose(make_request(), 7, 0.0)
+    choice = placement.choose(make_request(), 0.0)
     assert isinstance(choice, Placed)
     assert choice.upstream is second
 
@@ -119,7 +121,7 @@
     def chosen(now: float) -> set[str]:
         names = set()
         for key in map(str, range(200)):
-            choice = placement.choose(make_request(key, now=now), 7, now)
+            choice = placement.choose(make_request(key, now=now), now)
             assert isinstance(choice, Placed)
             names.add(choice.upstream.name)
         return names
@@ -128,17 +130,19 @@
     assert "new" in chosen(13.5)
 
 
-def test_cold_upstreams_stay_under_their_rate_when_all_are_cold() -> None:
-    # All hosts together must keep the limit also when they do not hear each other.
+@pytest.mark.parametrize("hosts", [1, 7, 28])
+def test_cold_upstreams_stay_under_their_rate_when_all_are_cold(hosts: int) -> None:
+    # All hosts together must keep the limit also when they do not hear each other,
+    # and a limit below the number of hosts must not leave the upstream unused.
     book = make_book(1)
     upstream = next(iter(book.all()))
     upstream.cold_until = 100.0
     sent = 0
-    for _host in range(7):
-        placement = make_placement(book, cold_per_s=2.5)
+    for host in range(hosts):
+        placement = make_placement(book, host=host, hosts=hosts)
         for step in range(100):
             now = 1.0 + step / 101
-            choice = placement.choose(make_request(str(step)), 7, now)
+            choice = placement.choose(make_request(str(step)), now)
             if isinstance(choice, Placed):
                 placement._cold.note_sent(choice.upstream.name, now)
                 sent += 1
@@ -157,7 +161,7 @@
     placement = make_placement(book)
     route = make_route(RequestKind.NON_IDEMPOTENT)
     for key in map(str, range(50)):
-        choice = placement.choose(make_request(key, route), 7, 5.0)
+        choice = placement.choose(make_request(key, route), 5.0)
         assert isinstance(choice, Placed)
         assert choice.upstream in rank(key, book.usable("s"))[:2]
 
@@ -167,10 +171,10 @@
     first = rank("1", book.usable("s"))[0]
     first.note_unreachable(0.0)
     placement = make_placement(book)
-    choice = placement.choose(make_request(), 7, 0.1)
+    choice = placement.choose(make_request(), 0.1)
     assert isinstance(choice, Placed)
     assert choice.upstream is not first
-    later = placement.choose(make_request(now=2.0), 7, 2.0)
+    later = placement.choose(make_request(now=2.0), 2.0)
     assert isinstance(later, Placed)
     assert later.upstream is first
 
@@ -180,7 +184,7 @@
     first = rank("1", book.usable("s"))[0]
     fill(first, 1, now=0.0)
     choice = make_placement(book).choose(
-        make_request(route=make_route(RequestKind.NON_IDEMPOTENT)), 7, 5.0
+        make_request(route=make_route(RequestKind.NON_IDEMPOTENT)), 5.0
     )
     assert isinstance(choice, Placed)
     assert choice.upstream is not first
--- a/tests/unit/test_cli.py
+++ b/tests/unit/test_cli.py
@@ -274,3 +274,20 @@
             [sys.executable, *arguments], capture_output=True, text=True, check=True
         )
         assert expected in done.stdout
+
+
+def test_explain_prints_one_request_in_order_across_logs(tmp_path: Path) -> None:
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    line = (
+        '{"time":"2026-01-01T00:00:0%d","host":"h%d","message":"m",'
+        '"request_id":"%s","kind":"k%d"}'
+    )
+    others = ("no json", line % (1, 1, "x", 9))
+    first.write_text("\n".join((*others, line % (2, 1, "r", 2))))
+    second.write_text("1.0 h2 " + line % (1, 2, "r", 1))
+    text = run(ExitCode.OK, "explain", "r", str(first), str(second)).stdout
+    assert [part.split()[1] for part in text.splitlines()] == ["h2", "h1"]
+    shown = run(ExitCode.OK, "explain", "r", str(first), str(second), "--json").stdout
+    assert [item["kind"] for item in json.loads(shown)] == ["k1", "k2"]
+    run(ExitCode.NOT_FOUND, "explain", "other", str(first))
+    run(ExitCode.INVALID, "explain", "r", str(tmp_path / "none.log"))
