Name hosts with narrow links less often, and pause between feeds

Change: a look-up answer leaves a host out as often as its link is narrower than the usual one; 0.2 s between feeds that brought rows.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -39,7 +39,9 @@
 
 def main() -> None:
     """Print the slopes."""
-    beat = Heartbeat("h", "z", "r", "10.0.0.1:1", "10.0.0.1:2", 1, 2, True, {"a": 1})
+    beat = Heartbeat(
+        "h", "z", "r", "10.0.0.1:1", "10.0.0.1:2", 1, 2, True, {"a": 1}, 9.0
+    )
     data = _encoder.encode(beat)
     decode_us = best_us(partial(_heartbeats.decode, data), 10_000)
     print(f"heartbeat: {len(data)} bytes, decoded in {decode_us:.1f} us")
--- a/samphirebend/gateway/follower.py
+++ b/samphirebend/gateway/follower.py
@@ -23,6 +23,8 @@
 FEED_WAIT_S: Final = 10.0
 READ_TIMEOUT_S: Final = 1.5
 RETRY_S: Final = 0.3
+# Pause after an answer with rows: calls are priced, and changes come in series.
+FEED_PAUSE_S: Final = 0.2
 # After trouble with the store, entries may be missing that come back.
 DISTURBED_S: Final = 4.0
 
@@ -109,6 +111,8 @@
             self._note_answer(table)
             self._take_page(table, read.ok_value, reads_whole)
             reads_whole = False
+            if read.ok_value.rows:
+                await deferLater(self._reactor, FEED_PAUSE_S)
 
     def _take_page(self, table: str, page: Page, whole: bool) -> None:
         if whole:
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -24,6 +24,7 @@
         "heard_at",
         "host",
         "incarnation",
+        "link_mbps",
         "news",
         "peer",
         "ready",
@@ -38,6 +39,7 @@
         self.region = region
         self.front = Address("0.0.0.0", 1)  # where callers connect
         self.peer = Address("0.0.0.0", 1)  # where hosts talk to each other
+        self.link_mbps = 0.0  # bandwidth of its link
         self.incarnation = 0
         self.sequence = 0
         self.ready = False
@@ -113,6 +115,21 @@
         near = [item for item in ready if item.region == region]
         if not near and homes:
             near = [item for item in ready if item.region in homes]
-        chosen = near or ready
+        chosen = self._by_link(near or ready)
         self._rng.shuffle(chosen)
         return [item.front for item in chosen[:MAX_ADDRESSES]]
+
+    def _by_link(self, hosts: list[Member]) -> list[Member]:
+        """Leave hosts out as often as their link is narrower than usual.
+
+        Callers take any address of an answer alike, so a host's share of them
+        follows from how many answers name it.
+        """
+        if not hosts:
+            return []
+        links = sorted(item.link_mbps for item in hosts)
+        usual = links[(len(links) - 1) // 2]
+        chosen = [
+            item for item in hosts if self._rng.random() * usual <= item.link_mbps
+        ]
+        return chosen or [max(hosts, key=lambda item: item.link_mbps)]
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -46,6 +46,7 @@
     sequence: int
     ready: bool
     news: dict[str, int]  # newest row that it knows, by table
+    link_mbps: float
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -160,6 +161,7 @@
                 own.sequence,
                 own.ready,
                 own.news,
+                own.link_mbps,
             )
         )
         live = {member.host for member in self._members.live(self._clock())}
@@ -198,6 +200,7 @@
         member.sequence = heartbeat.sequence
         member.ready = heartbeat.ready
         member.news = heartbeat.news
+        member.link_mbps = heartbeat.link_mbps
         was_live = member.host in {
             item.host for item in self._members.live(self._clock())
         }
--- a/samphirebend/gateway/settings.py
+++ b/samphirebend/gateway/settings.py
@@ -46,6 +46,7 @@
         "front",
         "host",
         "host_ip",
+        "link_mbps",
         "peer",
         "ready",
         "region",
@@ -60,6 +61,7 @@
         self.zone = zone  # failure domain
         self.region = region
         self.host_ip = ""
+        self.link_mbps = 1000.0  # bandwidth of the host's own link
         self.front: Address | None = None  # requests of callers
         self.ready: Address | None = None  # readiness checks
         self.directory: Address | None = None  # look-ups of callers
--- a/samphirebend/platform/settings.py
+++ b/samphirebend/platform/settings.py
@@ -49,6 +49,9 @@
         get_text(own, "region", "self"),
     )
     cfg.host_ip = get_text(own, "ip", "self")
+    limits = own.get("limits", {})
+    if "linkMbps" in limits:
+        cfg.link_mbps = get_number(limits, "linkMbps", "self.limits")
     network = get_field(data, "network", "settings")
     _read_network(cfg, network, get_texts(own, "serves", "self"))
     provider = get_field(data, "provider", "settings")
--- a/tests/unit/gateway/test_members.py
+++ b/tests/unit/gateway/test_members.py
@@ -63,3 +63,22 @@
     members.note_listed(make_member("h1", "a"))
     members.listed = True
     assert members.count() == 2
+
+
+def test_hosts_with_narrow_links_are_named_less_often() -> None:
+    # A link of 5 Mbit/s held requests for seconds at an even share of callers.
+    members = make_members()
+    members.own.link_mbps = 100.0
+    for number, link_mbps in ((1, 100.0), (2, 80.0), (3, 5.0)):
+        member = make_member(f"h{number}", "a")
+        member.link_mbps = link_mbps
+        members.note_heartbeat(member, 10.0)
+    named = [ports(members, "a", frozenset(), 10.5) for _ in range(400)]
+    assert sum(3 in hosts for hosts in named) < 60
+    assert all({0, 1, 2} <= hosts for hosts in named)
+
+
+def test_the_only_host_is_named_however_narrow_its_link() -> None:
+    members = make_members()
+    members.own.link_mbps = 5.0
+    assert ports(members, "a", frozenset(), 0.0) == {0}
