--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -28,6 +28,7 @@
 
 NO_CONFIG_RETRY_S: Final = 0.5
 STOPPING_RETRY_S: Final = 0.1
+SHED_RETRY_S: Final = 0.2
 # Tries without a connection that one request may make.
 MAX_UNREACHABLE: Final = 3
 SERVER_ERROR: Final = 500
@@ -114,7 +115,6 @@
         "_body",
         "_caller",
         "_deadline",
-        "_expired",
         "_gateway",
         "_last",
         "_life",
@@ -139,7 +139,6 @@
         self._attempts = 0  # tries that reached an upstream
         self._unreachable = 0  # tries without a connection
         self._last: Attempt | None = None  # the last try that failed
-        self._expired = False
 
     async def run(self) -> None:
         """Handle the request up to its answer."""
@@ -203,13 +202,7 @@
     async def _send_until_answered(self) -> None:
         route = self._route
         assert route is not None
-        request = Request(
-            route,
-            self._service,
-            self._object_key(),
-            self._started + route.objective_s,
-            self._deadline,
-        )
+        request = Request(route, self._service, self._object_key())
         while not self._over:
             now = self._gateway.reactor.seconds()
             choice = self._gateway.placement.choose(request, now)
@@ -220,7 +213,7 @@
             if self._over or not self._may_try_again(route):
                 break
         if not self._over:
-            self._give_up(Refused("attempts-spent", STOPPING_RETRY_S * 2))
+            self._give_up(Refused("attempts-spent", SHED_RETRY_S))
 
     def _object_key(self) -> str:
         return self._caller.object_key or self._req.target
@@ -388,7 +381,6 @@
         """End the request at its deadline."""
         if self._over:
             return
-        self._expired = True
         sent = self._life.outcome() is not Outcome.DID_NOT_RUN
         attempt = self._attempt
         if attempt is not None:
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -32,28 +32,12 @@
 class Request:
     """What the placement knows of a request."""
 
-    __slots__ = (
-        "deadline",
-        "object_key",
-        "objective_at",
-        "route",
-        "service",
-        "tried",
-    )
+    __slots__ = ("object_key", "route", "service", "tried")
 
-    def __init__(
-        self,
-        route: Route,
-        service: str,
-        object_key: str,
-        objective_at: float,
-        deadline: float,
-    ) -> None:
+    def __init__(self, route: Route, service: str, object_key: str) -> None:
         self.route = route
         self.service = service
-        self.object_key = object_key  # empty: the request concerns no object
-        self.objective_at = objective_at  # time until which an answer is on time
-        self.deadline = deadline
+        self.object_key = object_key
         self.tried: set[str] = set()  # upstreams that it was sent to
 
 
--- a/tests/unit/gateway/scene.py
+++ b/tests/unit/gateway/scene.py
@@ -63,13 +63,8 @@
     return placement
 
 
-def make_request(
-    object_key: str = "1", route: Route | None = None, now: float = 0.0
-) -> Request:
-    route = route or make_route()
-    return Request(
-        route, "s", object_key, now + route.objective_s, now + route.timeout_s
-    )
+def make_request(object_key: str = "1", route: Route | None = None) -> Request:
+    return Request(route or make_route(), "s", object_key)
 
 
 def fill(upstream: Upstream, count: int, now: float = 0.0) -> None:
--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -82,7 +82,7 @@
         outcome.asked += 1
         host = world.rng.randrange(hosts)
         key = str(world.rng.randrange(objects))
-        choice = placements[host].choose(make_request(key, route, now), now)
+        choice = placements[host].choose(make_request(key, route), now)
         if not isinstance(choice, Placed):
             outcome.refused += 1
             continue
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -95,7 +95,7 @@
     first, second = rank("1", book.usable("s"))[:2]
     fill(first, 4, now=10.0)
     fill(second, 2, now=10.0)
-    choice = placement.choose(make_request(now=10.0), 10.0)
+    choice = placement.choose(make_request(), 10.0)
     assert isinstance(choice, Placed)
     assert choice.upstream is first
 
@@ -121,7 +121,7 @@
     def chosen(now: float) -> set[str]:
         names = set()
         for key in map(str, range(200)):
-            choice = placement.choose(make_request(key, now=now), now)
+            choice = placement.choose(make_request(key), now)
             assert isinstance(choice, Placed)
             names.add(choice.upstream.name)
         return names
@@ -174,7 +174,7 @@
     choice = placement.choose(make_request(), 0.1)
     assert isinstance(choice, Placed)
     assert choice.upstream is not first
-    later = placement.choose(make_request(now=2.0), 2.0)
+    later = placement.choose(make_request(), 2.0)
     assert isinstance(later, Placed)
     assert later.upstream is first
 
