--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -23,10 +23,11 @@
 from samphirebend.errorcodes import ANSWERS, ErrorKind, Outcome
 from samphirebend.exchange import AnswerReceiver, FlowGate, PacedWriter
 from samphirebend.httpclient import ConnectionPool
-from samphirebend.httpserver import HttpServer, ServerRequest
+from samphirebend.httpserver import HttpServer
 from samphirebend.job import answer_headers, failure_headers, unix_ms_after
 from samphirebend.ledger import make_nonce
 from samphirebend.options import Options
+from samphirebend.serverrequest import ServerRequest
 from samphirebend.store import Row, StoreFault, make_store
 from tests.cluster import (
     Cluster,
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -28,7 +28,6 @@
     respond_paced,
 )
 from .headers import Headers
-from .httpserver import ServerRequest
 from .job import Job, answer_headers, failure_headers
 from .ledger import KeptAnswer, Ledger, LedgerEntry, RequestKey, parse_key
 from .lookup import Lookup
@@ -37,6 +36,7 @@
 from .metrics import Metrics
 from .quarantine import fingerprint
 from .relay import RelayClient, RelayMode
+from .serverrequest import ServerRequest
 
 LOOKUP_PATH: Final = "/v1/lookup"
 SERVICES_PATH: Final = "/v1/services/"
--- a/samphirebend/exchange.py
+++ b/samphirebend/exchange.py
@@ -20,8 +20,8 @@
 from .errorcodes import ErrorKind
 from .headers import Headers
 from .httpclient import ClientConnection, ResponseHead
-from .httpserver import BodySink, ServerRequest
 from .ledger import KeptAnswer
+from .serverrequest import BodySink, ServerRequest
 
 # Answers up to this size are checked whole before the caller gets a byte.
 HELD_ANSWER_BYTES: Final = 256 * 1024
--- a/samphirebend/gateway/attempt.py
+++ b/samphirebend/gateway/attempt.py
@@ -11,7 +11,7 @@
 from ..errorcodes import ErrorKind
 from ..headers import Headers, end_to_end
 from ..httpclient import ClientConnection, ConnectionPool, ResponseHead
-from ..httpserver import ServerRequest
+from ..serverrequest import ServerRequest
 from .body import RequestBody
 from .dialect import AnswerFacts, Dialect
 from .upstreams import Upstream
--- a/samphirebend/gateway/body.py
+++ b/samphirebend/gateway/body.py
@@ -8,7 +8,7 @@
 
 from ..errorcodes import ErrorKind
 from ..httpclient import ClientConnection
-from ..httpserver import ServerRequest
+from ..serverrequest import ServerRequest
 
 # Bodies up to this size are held, so that they can be sent to another upstream.
 HELD_BODY_BYTES: Final = 1024 * 1024
--- a/samphirebend/gateway/dialect.py
+++ b/samphirebend/gateway/dialect.py
@@ -6,7 +6,7 @@
 
 from ..headers import Headers
 from ..httpclient import ResponseHead
-from ..httpserver import ServerRequest
+from ..serverrequest import ServerRequest
 from .news import News
 from .replica import Row
 
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -13,9 +13,9 @@
 from ..errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
 from ..headers import end_to_end
 from ..httpclient import ConnectionPool
-from ..httpserver import ServerRequest
 from ..metrics import Metrics
 from ..requestlife import make_request_life
+from ..serverrequest import ServerRequest
 from .attempt import Attempt, AttemptEnd
 from .body import RequestBody
 from .budgets import ColdLimit, RetryBudget
--- a/samphirebend/gateway/front.py
+++ b/samphirebend/gateway/front.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from ..addresses import Address
-from ..httpserver import HttpServer, ServerRequest
+from ..httpserver import HttpServer
+from ..serverrequest import ServerRequest
 from .config import CallerLimits
 from .dialect import Dialect
 from .forward import Gateway
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -19,7 +19,8 @@
 from ..addresses import Address, parse_address
 from ..httpcall import call
 from ..httpclient import ConnectionPool
-from ..httpserver import HttpServer, ServerRequest
+from ..httpserver import HttpServer
+from ..serverrequest import ServerRequest
 from .follower import Follower
 from .members import Member, Members
 from .replica import Row
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -26,7 +26,7 @@
 from .addresses import Address
 from .errorcodes import ErrorKind
 from .headers import Headers
-from .httpserver import BODILESS_STATUSES, write_now
+from .serverrequest import BODILESS_STATUSES, write_now
 
 CONNECT_TIMEOUT_S: Final = 1.0
 # An upstream may close an idle connection at any time; a short stay in the
--- a/samphirebend/job.py
+++ b/samphirebend/job.py
@@ -12,9 +12,9 @@
 
 from .errorcodes import ANSWERS, ErrorKind, Outcome
 from .headers import Headers, end_to_end
-from .httpserver import ServerRequest
 from .manifest import Service
 from .requestlife import RequestLife, make_request_life
+from .serverrequest import ServerRequest
 
 # Headers that only this system sets; those of callers and upstreams are
 # dropped, so that neither can pass for a statement of the system.
--- a/samphirebend/lookup.py
+++ b/samphirebend/lookup.py
@@ -15,11 +15,11 @@
 import msgspec
 
 from .errorcodes import ANSWERS, ErrorKind
-from .httpserver import ServerRequest
 from .job import failure_headers
 from .ledger import key_prefix, make_nonce
 from .manifest import Manifest, Service
 from .metrics import Metrics
+from .serverrequest import ServerRequest
 
 REFRESH_S: Final = 0.2
 MAX_ALTERNATES: Final = 3
--- a/samphirebend/platform/exchanges.py
+++ b/samphirebend/platform/exchanges.py
@@ -7,7 +7,7 @@
 from ..gateway.dialect import AnswerFacts, CallerFacts, Lookup
 from ..headers import Headers, end_to_end
 from ..httpclient import ResponseHead
-from ..httpserver import ServerRequest
+from ..serverrequest import ServerRequest
 from .records import decode_row as decode_row
 
 # Each try of a caller has an id of its own, which upstreams repeat.
--- a/samphirebend/relay.py
+++ b/samphirebend/relay.py
@@ -28,10 +28,10 @@
 )
 from .headers import Headers
 from .httpclient import ConnectionPool, ResponseHead
-from .httpserver import ServerRequest
 from .job import Job, answer_headers
 from .ledger import KeptAnswer
 from .manifest import Host
+from .serverrequest import ServerRequest
 
 # The peer gives up first, so that its answer still arrives in time.
 DEADLINE_MARGIN_S: Final = 0.02
--- a/samphirebend/router.py
+++ b/samphirebend/router.py
@@ -16,7 +16,6 @@
 
 from .blocks import parse_address
 from .exchange import Pacer
-from .httpserver import ServerRequest
 from .job import Job
 from .ledger import Ledger
 from .limits import Limits
@@ -29,6 +28,7 @@
 from .reservation import Reservation
 from .room import Room
 from .routing import HEADROOM, HostOption, choose_upstream, rank_hosts
+from .serverrequest import ServerRequest
 from .upstreamstate import UpstreamStates
 
 MS_PER_S: Final = 1000.0
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http.py
@@ -24,12 +24,8 @@
     ConnectionPool,
     ResponseHead,
 )
-from samphirebend.httpserver import (
-    HttpServer,
-    HttpServerProtocol,
-    ServerRequest,
-    write_now,
-)
+from samphirebend.httpserver import HttpServer, HttpServerProtocol
+from samphirebend.serverrequest import ServerRequest, write_now
 
 from .test_limits import make_limits
 
