Write a host's row before reading the others, so that hosts which start together meet

A host read the list of hosts and then wrote its own row; two that start at the same moment both read before either wrote, and without a seed neither hears the other. Ruled out: a slow start, since both were ready and served. Change: the row is written first, then the list is read; the list has a module of its own.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -8,13 +8,10 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-import msgspec
 from loguru import logger
-from result import Err
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
 
-from ..addresses import Address, parse_address
+from ..addresses import Address
 from ..httpclient import ConnectionPool
 from ..kernel import Kernel
 from ..metrics import Metrics
@@ -23,6 +20,7 @@
 from .follower import Follower
 from .forward import Gateway
 from .front import Front
+from .hostlist import HostList
 from .logbudget import LogBudget
 from .members import Member, Members
 from .peers import Peers
@@ -35,24 +33,11 @@
 from .view import View
 
 CONNECT_TIMEOUT_S: Final = 0.35
-# Table in which hosts list themselves, so that new ones find the others.
-HOSTS_TABLE: Final = "hosts"
-LIST_TIMEOUT_S: Final = 1.5
-LIST_RETRY_S: Final = 1.0
 UPKEEP_S: Final = 0.2
 FORGET_GONE_S: Final = 20.0
 LOG_REPORT_S: Final = 1.0
 
 
-class ListedHost(msgspec.Struct):
-    """Row of one host in the list of hosts."""
-
-    zone: str
-    region: str
-    front: str
-    peer: str
-
-
 class App:
     """All parts of one gateway process, wired together."""
 
@@ -68,7 +53,6 @@
         clock, rng = time.monotonic, random.Random()
         self._cfg = cfg
         self._reactor = reactor
-        self._store = store
         self._stopping = False
         self._log_budget = log_budget
         self._log_report_at = 0.0
@@ -120,6 +104,7 @@
         self.front.add_listener(cfg.front, callers=True)
         self.front.add_listener(cfg.ready, callers=False)
         self.front.add_listener(cfg.directory, callers=False)
+        self.host_list = HostList(store, self.members, reactor)
         self.stop = Stop(
             self.gateway,
             self.front,
@@ -148,7 +133,8 @@
             zone=self._cfg.zone,
             incarnation=self.members.own.incarnation,
         )
-        await self._list_host()
+        await self.host_list.join(lambda: self._stopping)
+        self.peers.notify_all()
 
     async def shut_down(self) -> None:
         """Run the planned stop and end all services."""
@@ -162,39 +148,6 @@
         """Tell whether the planned stop has begun."""
         return self._stopping
 
-    async def _list_host(self) -> None:
-        """Add this host to the list of hosts and read the others'."""
-        own = self.members.own
-        row = ListedHost(own.zone, own.region, str(own.front), str(own.peer))
-        value = msgspec.json.encode(row)
-        while not self._stopping:
-            read = await self._store.read(HOSTS_TABLE, LIST_TIMEOUT_S)
-            if not isinstance(read, Err):
-                known = {item.key: item.value for item in read.ok_value.rows}
-                self._note_listed(known)
-                if known.get(own.host) == value:
-                    return
-                put = await self._store.put(
-                    HOSTS_TABLE, own.host, value, LIST_TIMEOUT_S
-                )
-                if not isinstance(put, Err):
-                    return
-            await deferLater(self._reactor, LIST_RETRY_S)
-
-    def _note_listed(self, rows: dict[str, bytes | None]) -> None:
-        for host, value in rows.items():
-            try:
-                listed = msgspec.json.decode(value or b"", type=ListedHost)
-            except msgspec.DecodeError as exc:
-                logger.warning("listed host ignored: {}", exc, event="row_ignored")
-                continue
-            member = Member(host, listed.zone, listed.region)
-            member.front = parse_address(listed.front) or member.front
-            member.peer = parse_address(listed.peer) or member.peer
-            self.members.note_listed(member)
-        self.members.listed = True
-        self.peers.notify_all()
-
     def _keep_up(self) -> None:
         now = time.monotonic()
         self.view.expire_held(now)
--- /dev/null
+++ b/samphirebend/gateway/hostlist.py
@@ -0,0 +1,70 @@
+"""List of hosts in the store, by which hosts that start find the others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+from loguru import logger
+from result import Err
+from twisted.internet.task import deferLater
+
+from ..addresses import parse_address
+from .members import Member, Members
+from .rowstore import RowStore
+
+HOSTS_TABLE: Final = "hosts"
+CALL_TIMEOUT_S: Final = 1.5
+RETRY_S: Final = 1.0
+
+
+class ListedHost(msgspec.Struct):
+    """Row of one host."""
+
+    zone: str
+    region: str
+    front: str
+    peer: str
+
+
+class HostList:
+    """Adds this host to the list and learns the others from it."""
+
+    __slots__ = ("_members", "_reactor", "_store")
+
+    def __init__(self, store: RowStore, members: Members, reactor: Any) -> None:
+        self._store = store
+        self._members = members
+        self._reactor = reactor
+
+    async def join(self, stopping: Callable[[], bool]) -> None:
+        """Write the own row, then read all; repeat until both succeeded.
+
+        Of two hosts that start together, the one whose row is written last reads
+        the other's. Reading first would let both read before either wrote.
+        """
+        own = self._members.own
+        row = ListedHost(own.zone, own.region, str(own.front), str(own.peer))
+        value = msgspec.json.encode(row)
+        while not stopping():
+            put = await self._store.put(HOSTS_TABLE, own.host, value, CALL_TIMEOUT_S)
+            if not isinstance(put, Err):
+                read = await self._store.read(HOSTS_TABLE, CALL_TIMEOUT_S)
+                if not isinstance(read, Err):
+                    for item in read.ok_value.rows:
+                        self._note(item.key, item.value or b"")
+                    self._members.listed = True
+                    return
+            await deferLater(self._reactor, RETRY_S)
+
+    def _note(self, host: str, value: bytes) -> None:
+        try:
+            listed = msgspec.json.decode(value, type=ListedHost)
+        except msgspec.DecodeError as exc:
+            logger.warning("listed host ignored: {}", exc, event="row_ignored")
+            return
+        member = Member(host, listed.zone, listed.region)
+        member.front = parse_address(listed.front) or member.front
+        member.peer = parse_address(listed.peer) or member.peer
+        self._members.note_listed(member)
