--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,162 @@
+"""Gateway processes of tests, with their settings and configurations."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from .processes import Child, free_port
+
+MODULE: Final = "samphirebend.platform"
+Answer = tuple[int, bytes, dict[str, str]]
+
+
+def caller_headers(request_id: str) -> dict[str, str]:
+    """Return what callers send besides the usual headers."""
+    return {"Host": "h.example", "Attempt-Id": request_id, "Deadline-Ms": "4000"}
+
+
+class GatewayProcess:
+    """One gateway host on a loopback address of its own; it may start again."""
+
+    def __init__(
+        self,
+        store: str,
+        ip: str,
+        zone: str,
+        regions: Mapping[str, str],
+        folder: Path,
+        name: str = "",
+    ) -> None:
+        self.name = name or f"front-{zone}"
+        self.ip = ip
+        self.front, self.ready = free_port(ip), free_port(ip)
+        self.directory, self.peer = free_port(ip), free_port(ip)
+        self.region = regions[zone]
+        self.starts = 0
+        self._folder = folder
+        zones = "\n".join(f'{name} = "{region}"' for name, region in regions.items())
+        self._settings = folder / f"{self.name}.toml"
+        self._settings.write_text(
+            f"""
+[self]
+node = "{self.name}"
+serves = ["front", "directory"]
+ip = "{ip}"
+zone = "{zone}"
+region = "{self.region}"
+[network]
+portRange = [{self.peer}, {self.peer}]
+seeds = []
+[network.listen]
+front = "{ip}:{self.front}"
+ready = "{ip}:{self.ready}"
+directory = "{ip}:{self.directory}"
+[network.zones]
+{zones}
+[provider.provider]
+address = "{store}"
+[terms.bounds]
+graceS = 6
+"""
+        )
+        self.child = self.start()
+
+    def start(self) -> Child:
+        """Start the process, again if it has ended."""
+        self.starts += 1
+        self.child = Child(
+            f"{self.name}-{self.starts}",
+            MODULE,
+            [],
+            self._folder,
+            {"SAMPHIREBEND_NODE_FILE": str(self._settings)},
+        )
+        return self.child
+
+    @property
+    def address(self) -> str:
+        """Return where callers connect."""
+        return f"{self.ip}:{self.front}"
+
+    def is_ready(self) -> bool:
+        """Tell whether the host takes callers."""
+        try:
+            return self.call(self.ready, "GET", "/ready")[0] == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def call(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Make one request on a connection of its own."""
+        conn = http.client.HTTPConnection(self.ip, port, timeout=10)
+        try:
+            conn.request(method, path, body, headers or {})
+            answer = conn.getresponse()
+            names = {name.lower(): value for name, value in answer.getheaders()}
+            return answer.status, answer.read(), names
+        finally:
+            conn.close()
+
+    def get(self, path: str, request_id: str = "1") -> Answer:
+        """Send a caller's GET request."""
+        return self.call(self.front, "GET", path, None, caller_headers(request_id))
+
+    def post(self, path: str, body: bytes, request_id: str) -> Answer:
+        """Send a caller's POST request."""
+        return self.call(self.front, "POST", path, body, caller_headers(request_id))
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the log lines of all starts."""
+        lines: list[dict[str, Any]] = []
+        for path in sorted(self._folder.glob(f"{self.name}-*.out")):
+            for line in path.read_text(errors="replace").splitlines():
+                if line.startswith("{"):
+                    lines.append(json.loads(line))
+        return lines
+
+    def end(self) -> None:
+        """End the process, with SIGKILL."""
+        self.child.kill()
+
+
+def make_config(
+    version: int, service: str = "s", **prefixes: tuple[str, str]
+) -> dict[str, Any]:
+    """Return a configuration of one service; each route has a prefix and a kind."""
+    resources: list[dict[str, Any]] = []
+    for name, (prefix, kind) in prefixes.items():
+        spec = {
+            "host": "h.example",
+            "prefix": prefix,
+            "kind": kind,
+            "timeoutMs": 3000,
+            "sloMs": 500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": 2,
+            "sticky": True,
+            "homeRegions": [],
+        }
+        resources.append(
+            {"resourceKind": "routes", "metadata": {"name": name}, "spec": spec}
+        )
+    policy = {
+        "healthPath": "/health",
+        "maxConns": 100,
+        "coldStartS": 1.0,
+        "coldPerS": 9.0,
+    }
+    resources.append(
+        {"resourceKind": "services", "metadata": {"name": service}, "spec": policy}
+    )
+    return {"version": f"{version:08x}", "resources": resources}
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -61,7 +61,14 @@
 class Child:
     """A Python module that runs as a process, with its output files."""
 
-    def __init__(self, name: str, module: str, args: list[str], folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        module: str,
+        args: list[str],
+        folder: Path,
+        env: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.out = folder / f"{name}.out"
         self.log = folder / f"{name}.log"
@@ -69,6 +76,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", module, *args],
                 cwd=ROOT,
+                env=os.environ | (env or {}),
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=log,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -21,9 +23,13 @@
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 256
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Write nothing when a connection breaks: tests break them on purpose."""
 
-class _Handler(BaseHTTPRequestHandler):
+
+class Exchange(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
     def log_message(self, format: str, *args: object) -> None:
@@ -40,11 +46,17 @@
     def reply_json(self, status: int, fields: dict[str, Any]) -> None:
         self.reply(status, json.dumps(fields).encode(), {})
 
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(2)
+
     def read_body(self) -> bytes:
         return self.rfile.read(int(self.headers.get("Content-Length", "0")))
 
 
-def _start(ip: str, handler: type[_Handler]) -> _Server:
+def _start(ip: str, handler: type[Exchange]) -> _Server:
     server = _Server((ip, 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
@@ -59,9 +71,13 @@
         self.version = 0
         self.refused: set[str] = set()  # addresses of hosts that get no answer
         self.history_from = 0  # feeds after an older version are refused
+        self.down = False  # no host gets an answer other than 503
+        self.delay_s = 0.0  # before each answer
+        self.lost_share = 0.0  # of writes that are done and not answered
+        self._rng = random.Random(1)
         store = self
 
-        class Handler(_Handler):
+        class Handler(Exchange):
             def do_GET(self) -> None:
                 store.answer(self)
 
@@ -94,16 +110,17 @@
             self.history_from = self.version
             self.changed.notify_all()
 
-    def _refuses(self, handler: _Handler) -> bool:
-        return handler.client_address[0] in self.refused
+    def _refuses(self, handler: Exchange) -> bool:
+        return self.down or handler.client_address[0] in self.refused
 
     def _page(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
         return {"rows": rows, "hasMore": False, "ver": self.version, "nowMs": 1}
 
-    def answer(self, handler: _Handler) -> None:
+    def answer(self, handler: Exchange) -> None:
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         table = query.get("table", "")
+        time.sleep(self.delay_s)
         with self.changed:
             if self._refuses(handler):
                 handler.reply_json(503, {"error": "refused"})
@@ -117,7 +134,7 @@
             else:
                 self._feed(handler, table, query)
 
-    def _feed(self, handler: _Handler, table: str, query: dict[str, str]) -> None:
+    def _feed(self, handler: Exchange, table: str, query: dict[str, str]) -> None:
         after = int(query["after"])
         wait_s = min(FEED_LIMIT_S, int(query["waitMs"]) / 1000)
         until = time.monotonic() + wait_s
@@ -140,8 +157,9 @@
                 return
             self.changed.wait(left_s)
 
-    def transact(self, handler: _Handler) -> None:
+    def transact(self, handler: Exchange) -> None:
         body = json.loads(handler.read_body())
+        time.sleep(self.delay_s)
         with self.changed:
             if self._refuses(handler):
                 handler.reply_json(503, {"error": "refused"})
@@ -150,6 +168,9 @@
                 self.version += 1
                 self.rows[row["table"], row["key"]] = row | {"ver": self.version}
             self.changed.notify_all()
+            if self._rng.random() < self.lost_share:
+                handler.drop()
+                return
             handler.reply_json(200, {"ver": self.version, "nowMs": 1})
 
     def stop(self) -> None:
@@ -157,23 +178,55 @@
         self.server.server_close()
 
 
+class Arrival:
+    """One request at an upstream."""
+
+    __slots__ = ("at", "path", "ran", "request_id", "service", "upstream", "zone")
+
+    def __init__(self, upstream: UpstreamStandIn, request_id: str, path: str) -> None:
+        self.at = time.time()
+        self.request_id = request_id
+        self.path = path
+        self.upstream = upstream.name
+        self.service = upstream.service
+        self.zone = upstream.zone
+        self.ran = False  # it was begun, not refused
+
+
 class UpstreamStandIn:
-    """One upstream: runs requests, one reply function for all."""
+    """One upstream: runs requests in slots, with a short queue before them."""
 
     def __init__(
-        self, store: StoreStandIn, name: str, service: str, zone: str, ip: str
+        self,
+        store: StoreStandIn,
+        name: str,
+        service: str,
+        zone: str,
+        ip: str,
+        slots: int = 4,
+        queue: int = 1000,
     ) -> None:
         self.store = store
         self.name = name
         self.service = service
         self.zone = zone
+        self.slots = slots
         self.ran: list[tuple[str, str, str, bytes]] = []  # id, method, path, body
+        self.arrivals: list[Arrival] = []
         self.work_s = 0.0
+        self.lost_share = 0.0  # of requests that run and get no answer
+        self.failing_share = 0.0  # of requests that run and are answered with 500
+        self.address = ""  # that it registers; its own if empty
+        self.born_ms = 0
         # Replaces the answer of a request; None: the usual answer.
-        self.fault: Callable[[_Handler], bool] | None = None
+        self.fault: Callable[[Exchange], bool] | None = None
+        self._most = slots + queue
+        self._waiting = 0
+        self._free = threading.Semaphore(slots)
+        self._rng = random.Random(name)
         upstream = self
 
-        class Handler(_Handler):
+        class Handler(Exchange):
             def do_GET(self) -> None:
                 upstream.run(self)
 
@@ -181,32 +234,59 @@
                 upstream.run(self)
 
         self.server = _start(ip, Handler)
+        self.own_address = f"{ip}:{self.server.server_address[1]}"
+
+    def register(self, state: str = "ready", cold_ms: int = 0) -> None:
+        info = {
+            "service": self.service,
+            "version": "v1",
+            "zone": self.zone,
+            "slots": self.slots,
+        }
+        status = {"state": state, "seq": 1, "coldLeftMs": cold_ms}
+        address = self.address or self.own_address
+        entry = {"address": address, "info": info, "status": status}
+        self.store.put("servers", self.name, entry | {"born": self.born_ms})
 
-    def register(self, state: str = "ready") -> None:
-        host, port = self.server.server_address[0], self.server.server_address[1]
-        info = {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4}
-        status = {"state": state, "seq": 1, "coldLeftMs": 0}
-        entry = {"address": f"{host!s}:{port}", "info": info, "status": status}
-        self.store.put("servers", self.name, entry)
-
-    def run(self, handler: _Handler) -> None:
+    def run(self, handler: Exchange) -> None:
         body = handler.read_body()
         request_id = handler.headers.get("Attempt-Id", "")
+        own = {"Attempt-Id": request_id}
         if handler.headers.get("Expect-Instance") != self.name:
-            handler.reply(421, b"", {"Attempt-Id": request_id})
+            handler.reply(421, b"", own)
             return
         if self.fault is not None and self.fault(handler):
             return
-        self.ran.append((request_id, handler.command, handler.path, body))
-        time.sleep(self.work_s)
+        arrival = Arrival(self, request_id, handler.path)
+        self.arrivals.append(arrival)
+        if self._waiting >= self._most:
+            handler.reply(503, b"", own | {"Not-Executed": "full"})
+            return
+        self._waiting += 1
+        try:
+            with self._free:
+                arrival.ran = True
+                self.ran.append((request_id, handler.command, handler.path, body))
+                time.sleep(self.work_s)
+        finally:
+            self._waiting -= 1
+        self._answer(handler, request_id)
+
+    def _answer(self, handler: Exchange, request_id: str) -> None:
+        if self._rng.random() < self.lost_share:
+            handler.drop()
+            return
+        load = self._waiting + 1
+        running = min(load, self.slots)
         headers = {
             "Attempt-Id": request_id,
             "Server-Seal": "seal",
-            "Server-Load": "1,0,4",
+            "Server-Load": f"{running},{load - running},{self.slots}",
             "Keep-Alive": "timeout=10",
         }
-        text = f"{self.name} {handler.path}".encode()
-        handler.reply(200, text, headers)
+        failed = self._rng.random() < self.failing_share
+        text = f"{self.name} {request_id} {handler.path}".encode()
+        handler.reply(500 if failed else 200, text, headers)
 
     def stop(self) -> None:
         self.server.shutdown()
