--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,189 @@
+"""Callers of a soak: they keep connections open and repeat what is safe to repeat."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import random
+import threading
+import time
+from typing import Final
+
+from ..gateways import GatewayProcess, caller_headers
+from .records import PROMISES, Sent
+
+TIMEOUT_S: Final = 4.5
+LOOKUP_TIMEOUT_S: Final = 1.0
+CONNECT_TIMEOUT_S: Final = 1.0
+LOOKUP_LIFE_S: Final = 1.0
+TRIES: Final = 3
+MEAN_PAUSE_S: Final = 0.25
+OBJECTS: Final = 40
+MAX_BODY_BYTES: Final = 60_000
+# A connection is left after this many requests, as some callers do.
+MOST_REQUESTS: Final = 30
+
+
+class Connection:
+    """One open connection of a caller to a host."""
+
+    __slots__ = ("gateway", "http", "requests", "start")
+
+    def __init__(self, gateway: GatewayProcess) -> None:
+        self.gateway = gateway
+        self.start = gateway.starts
+        self.requests = 0
+        self.http = http.client.HTTPConnection(
+            gateway.ip, gateway.front, timeout=CONNECT_TIMEOUT_S
+        )
+
+
+class Caller(threading.Thread):
+    """One caller: looks hosts up, keeps a connection, sends one request at a time."""
+
+    def __init__(self, number: int, seed: int, hosts: list[GatewayProcess]) -> None:
+        super().__init__(daemon=True)
+        self.sent: list[Sent] = []
+        self.stopping = threading.Event()
+        self._number = number
+        self._rng = random.Random(seed * 1000 + number)
+        self._hosts = hosts
+        self._by_address = {host.address: host for host in hosts}
+        self._region = hosts[number % len(hosts)].region
+        self._numbers = itertools.count(1)
+        self._known: list[str] = []
+        self._looked_up_at = 0.0
+        self._conn: Connection | None = None
+
+    def run(self) -> None:
+        """Send requests until told to stop."""
+        while not self.stopping.is_set():
+            self._send_until_answered()
+            self.stopping.wait(self._rng.expovariate(1.0 / MEAN_PAUSE_S))
+
+    def _send_until_answered(self) -> None:
+        idempotent = self._rng.random() < 0.65
+        path = f"/{'read' if idempotent else 'write'}/{self._rng.randrange(OBJECTS)}"
+        body = b""
+        if not idempotent:
+            body = self._rng.randbytes(self._rng.randrange(MAX_BODY_BYTES))
+        for _ in range(TRIES):
+            sent, wait_s = self._send(path, idempotent, body)
+            repeats = idempotent or sent.status in PROMISES
+            if sent.status == 200 or not repeats or self.stopping.is_set():
+                return
+            self.stopping.wait(wait_s)
+
+    def _send(self, path: str, idempotent: bool, body: bytes) -> tuple[Sent, float]:
+        """Send once; return what was seen and when to come back, in seconds."""
+        conn = self._conn or self._connect()
+        request_id = f"c{self._number}-{next(self._numbers)}"
+        sent = Sent(request_id, "", 0, path, idempotent, time.time())
+        if conn is None:
+            return sent, 0.3
+        self._conn = conn
+        sent.host, sent.start = conn.gateway.name, conn.start
+        sent.new_connection = conn.requests == 0
+        wait_s = 0.1
+        try:
+            wait_s = self._exchange(conn, sent, body)
+        except TimeoutError:
+            sent.timed_out = True
+            self._leave()
+        except (OSError, http.client.HTTPException):
+            self._leave()
+        sent.ended_at = time.time()
+        self.sent.append(sent)
+        return sent, wait_s
+
+    def _exchange(self, conn: Connection, sent: Sent, body: bytes) -> float:
+        method = "GET" if sent.idempotent else "POST"
+        headers = caller_headers(sent.request_id)
+        conn.http.request(method, sent.path, body or None, headers)
+        sent.sent_at = time.time()
+        conn.requests += 1
+        answer = conn.http.getresponse()
+        text = answer.read().decode(errors="replace").split(" ")
+        sent.status = answer.status
+        sent.whole = text[1:] == [sent.request_id, sent.path]
+        closes = answer.headers.get("Connection", "").lower() == "close"
+        if closes or sent.status != 200 or conn.requests >= MOST_REQUESTS:
+            self._leave()
+        return min(1.0, float(answer.headers.get("Retry-After", "0.1")))
+
+    def _leave(self) -> None:
+        if self._conn is not None:
+            self._conn.http.close()
+            self._conn = None
+
+    def _connect(self) -> Connection | None:
+        self._look_up()
+        if not self._known:
+            return None
+        conn = Connection(self._by_address[self._rng.choice(self._known)])
+        try:
+            conn.http.connect()
+        except OSError:
+            return None
+        conn.http.sock.settimeout(TIMEOUT_S)
+        return conn
+
+    def _look_up(self) -> None:
+        if time.monotonic() - self._looked_up_at < LOOKUP_LIFE_S:
+            return
+        path = f"/resolve?name=h.example&region={self._region}&zone=x"
+        for host in self._rng.sample(self._hosts, len(self._hosts)):
+            conn = http.client.HTTPConnection(
+                host.ip, host.directory, timeout=LOOKUP_TIMEOUT_S
+            )
+            try:
+                conn.request("GET", path)
+                answer = conn.getresponse()
+                body = answer.read()
+            except (OSError, http.client.HTTPException):
+                continue
+            finally:
+                conn.close()
+            if answer.status == 200:
+                self._known = json.loads(body)["addrs"]
+                self._looked_up_at = time.monotonic()
+                return
+
+
+class Prober(threading.Thread):
+    """Asks each host for the route that only the newest version has."""
+
+    def __init__(self, hosts: list[GatewayProcess], newest: list[int]) -> None:
+        super().__init__(daemon=True)
+        self.sent: list[Sent] = []
+        self.stopping = threading.Event()
+        self._hosts = hosts
+        self._newest = newest  # versions that the operator sent, oldest first
+        self._numbers = itertools.count(1)
+
+    def run(self) -> None:
+        """Probe all hosts in turn until told to stop."""
+        while not self.stopping.wait(0.15):
+            version = self._newest[-1]
+            host = self._hosts[next(self._numbers) % len(self._hosts)]
+            self._probe(host, version)
+
+    def _probe(self, host: GatewayProcess, version: int) -> None:
+        number = next(self._numbers)
+        path, start = f"/v{version}/x", host.starts
+        sent = Sent(f"p-{number}", host.name, start, path, True, time.time())
+        conn = http.client.HTTPConnection(host.ip, host.front, timeout=1.0)
+        try:
+            conn.request("GET", path, None, caller_headers(sent.request_id))
+            answer = conn.getresponse()
+            text = answer.read().decode(errors="replace").split(" ")
+            sent.status = answer.status
+            sent.whole = text[1:] == [sent.request_id, path]
+        except (OSError, http.client.HTTPException):
+            sent.timed_out = True
+        finally:
+            conn.close()
+        sent.ended_at = time.time()
+        if host.starts == start:
+            self.sent.append(sent)
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,58 @@
+"""One run of the soak: faults by schedule, load, records, verdict and report."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+from .checks import check_all
+from .faults import run_schedule
+from .records import Records
+from .schedule import make_schedule
+from .world import CALLERS, World
+
+
+class Verdict(msgspec.Struct):
+    """What came of a run."""
+
+    seed: int
+    seconds: float
+    faults: dict[str, int]
+    outcomes: dict[str, int]
+    violations: dict[str, list[str]]
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether no promise was broken."""
+        return not any(self.violations.values())
+
+
+def run_soak(
+    seed: int, seconds: float, folder: Path, callers: int = CALLERS
+) -> tuple[Verdict, Records]:
+    """Run the programs under faults for some seconds; return what was seen."""
+    folder.mkdir(parents=True, exist_ok=True)
+    schedule = make_schedule(seed, seconds)
+    with World(folder, seed, callers) as world:
+        world.start_load()
+        begun = time.monotonic()
+        run_schedule(world, schedule)
+        time.sleep(max(0.0, begun + seconds - time.monotonic()))
+        records = world.finish()
+    verdict = Verdict(
+        seed,
+        seconds,
+        dict(Counter(item.kind for item in records.troubles)),
+        dict(Counter(_outcome(item.status) for item in records.sent)),
+        check_all(records),
+    )
+    (folder / "verdict.json").write_bytes(msgspec.json.encode(verdict))
+    (folder / "records.json").write_bytes(msgspec.json.encode(records))
+    return verdict, records
+
+
+def _outcome(status: int) -> str:
+    return str(status) if status else "no answer"
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -27,6 +27,8 @@
 EFFECTS: dict[str, Any] = {
     "cut": False,  # closes existing connections and refuses new ones
     "freeze": False,  # holds bytes; connections stay
+    "freeze_requests": False,  # holds what goes to the target only
+    "freeze_answers": False,  # holds what comes from the target only
     "delay_ms": 0.0,  # each way, in addition to the link's
     "truncate_after": -1,  # bytes of the answer, then close
     "lose_answer": False,  # drop the answer's bytes, then close
@@ -168,12 +170,11 @@
         while True:
             due, data = await queue.get()
             while (effect := self.effect())["freeze"] or (
-                due + effect["delay_ms"] / 1000 > time.monotonic()
+                effect["freeze_answers" if is_answer else "freeze_requests"]
+                or due + effect["delay_ms"] / 1000 > time.monotonic()
             ):
                 left = due + effect["delay_ms"] / 1000 - time.monotonic()
-                await asyncio.sleep(
-                    max(0.001, left) if not effect["freeze"] else TICK_S
-                )
+                await asyncio.sleep(left if left > 0 else TICK_S)
             if not data:
                 if writer.can_write_eof():
                     writer.write_eof()
