Let idle connections to upstreams rest for longer, and learn from resets how long

Fixed rests of 4 s, and 0.8 s for requests that may run once, were shorter than the time between two requests of a host to one upstream (6 s). Change: rests of up to 9 s and 2 s; a prompt reset after a rest shortens them on that host, and they grow back.

--- a/samphirebend/gateway/attempt.py
+++ b/samphirebend/gateway/attempt.py
@@ -19,10 +19,6 @@
 # Answers to requests that may be repeated are held up to this size, so that one
 # that breaks off can be replaced.
 HELD_ANSWER_BYTES: Final = 64 * 1024
-# An upstream may drop a connection that was idle for longer, and what is sent
-# on it then is lost; requests that may not run twice use fresher ones.
-MAX_IDLE_ONCE_S: Final = 0.8
-MAX_IDLE_S: Final = 4.0
 
 
 @unique
@@ -83,9 +79,11 @@
         self.end_kind: AttemptEnd | None = None
         self.done: Deferred[AttemptEnd] = Deferred()
 
-    async def connect(self, pool: ConnectionPool, idempotent: bool) -> bool:
-        """Get a connection; return whether the request may be sent on it."""
-        max_idle_s = MAX_IDLE_S if idempotent else MAX_IDLE_ONCE_S
+    async def connect(self, pool: ConnectionPool, max_idle_s: float) -> bool:
+        """Get a connection; return whether the request may be sent on it.
+
+        One that was idle for more than `max_idle_s` seconds is not used.
+        """
         entry = self.upstream.entry
         acquired = await pool.acquire(entry.address, entry.upstream, max_idle_s)
         if isinstance(acquired, Err):
@@ -143,6 +141,11 @@
         """Tell whether the connection had carried requests before."""
         return self._conn is not None and self._conn.uses > 1
 
+    @property
+    def rested_s(self) -> float:
+        """Return for how long the connection was idle before, in seconds."""
+        return self._conn.rested_s if self._conn is not None else 0.0
+
     def _accepts(self, head: ResponseHead) -> bool:
         facts = self._dialect.read_answer(head, self._request_id)
         # An answer without an id can only be the one that is due.
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -21,6 +21,7 @@
 from .budgets import ColdLimit, RetryBudget
 from .config import Route
 from .dialect import CallerFacts, Dialect
+from .idle import IdleLimit
 from .members import Members
 from .placement import Placed, Placement, Refused, Request
 from .upstreams import Upstream
@@ -45,6 +46,7 @@
         "budget",
         "cold",
         "dialect",
+        "idle",
         "in_flight",
         "members",
         "metrics",
@@ -70,6 +72,7 @@
         rng: random.Random,
     ) -> None:
         self.dialect = dialect
+        self.idle = IdleLimit()
         self.view = view
         self.placement = placement
         self.members = members
@@ -231,11 +234,13 @@
             may_hold=route.idempotent,
         )
         self._attempt = attempt
+        now = gateway.reactor.seconds()
+        max_idle_s = gateway.idle.allowed_s(route.idempotent, now)
         number = gateway.next_number()
         # Counted while the connection is opened, so that others go elsewhere.
-        upstream.note_sent(number, gateway.reactor.seconds())
+        upstream.note_sent(number, now)
         try:
-            if await attempt.connect(gateway.pool, route.idempotent):
+            if await attempt.connect(gateway.pool, max_idle_s):
                 self._write(attempt, choice)
                 await attempt.done
         finally:
@@ -277,9 +282,7 @@
         elif end is AttemptEnd.LOST:
             self._life.lose()
             upstream.note_failure(now)
-            broken = attempt.error is ErrorKind.UPSTREAM_BROKEN
-            if broken and not attempt.reused_connection:
-                upstream.note_unreachable(now)
+            self._note_lost(attempt, elapsed_s, now)
         elif end is AttemptEnd.NOT_SENT:
             self._unreachable += 1
             upstream.note_unreachable(now)
@@ -288,6 +291,15 @@
         if end is not AttemptEnd.CANCELLED:
             self._log_try(attempt, choice, elapsed_s)
 
+    def _note_lost(self, attempt: Attempt, elapsed_s: float, now: float) -> None:
+        """Learn from a connection that ended without an answer."""
+        if attempt.error is not ErrorKind.UPSTREAM_BROKEN:
+            return
+        if attempt.reused_connection:
+            self._gateway.idle.note_reset(attempt.rested_s, elapsed_s, now)
+        else:
+            attempt.upstream.note_unreachable(now)
+
     def _note_answer(
         self,
         attempt: Attempt,
--- /dev/null
+++ b/samphirebend/gateway/idle.py
@@ -0,0 +1,49 @@
+"""For how long an idle connection to an upstream may rest before it is used again.
+
+Upstreams state how long they keep idle connections, and some forget them sooner
+without a word: what is sent next is reset, and a request that may not run twice is
+then lost. A reset after a rest therefore shortens the rests allowed from then on;
+while nothing is reset the allowed rest grows back.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# An upstream that forgot a connection resets it at once; one that ran the request
+# takes longer.
+PROMPT_S: Final = 0.2
+# Longest rests; a request that may run again only costs a further try when reset.
+MAX_REPEATABLE_S: Final = 9.0
+MAX_ONCE_S: Final = 2.0
+MIN_REST_S: Final = 0.05
+# Part of the rest after which a connection was reset that is still allowed.
+SHRINK: Final = 0.5
+DOUBLES_IN_S: Final = 20.0
+
+
+class IdleLimit:
+    """The rest allowed now, learned from all upstreams of a host."""
+
+    __slots__ = ("_learned_at", "_limit_s")
+
+    def __init__(self) -> None:
+        self._limit_s = MAX_REPEATABLE_S
+        self._learned_at = 0.0
+
+    def allowed_s(self, idempotent: bool, now: float) -> float:
+        """Return how long a connection may have rested, in seconds."""
+        grown = 2.0 ** min(30.0, (now - self._learned_at) / DOUBLES_IN_S)
+        most_s = MAX_REPEATABLE_S if idempotent else MAX_ONCE_S
+        return min(most_s, self._limit_s * grown)
+
+    def note_reset(self, rested_s: float, elapsed_s: float, now: float) -> None:
+        """Record that a connection was reset when it was used after a rest.
+
+        `elapsed_s` is the time from the request to the reset.
+        """
+        if elapsed_s > PROMPT_S:
+            return
+        shortest = min(self.allowed_s(True, now), rested_s * SHRINK)
+        self._limit_s = max(MIN_REST_S, shortest)
+        self._learned_at = now
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -107,6 +107,7 @@
         self._h11 = self._make_parser()
         self._sink: ResponseSink | None = None
         self.idle_since = 0.0
+        self.rested_s = 0.0  # idle time before the current exchange
         self.open = False
         self.uses = 0  # exchanges begun on this connection
         self.keep_s = MAX_IDLE_S  # for how long it may stay idle
@@ -408,6 +409,7 @@
             conn = idle.pop()
             if conn.open and conn.idle_since >= now - conn.keep_s:
                 if conn.idle_since >= now - max_idle_s:
+                    conn.rested_s = now - conn.idle_since
                     return conn
                 # The others are older still.
                 idle.append(conn)
--- /dev/null
+++ b/tests/unit/gateway/test_idle.py
@@ -0,0 +1,46 @@
+"""Idle connections: reused for long, and shorter once upstreams forget them."""
+
+from __future__ import annotations
+
+from samphirebend.gateway.idle import (
+    DOUBLES_IN_S,
+    MAX_ONCE_S,
+    MAX_REPEATABLE_S,
+    IdleLimit,
+)
+
+
+def test_connections_rest_long_while_none_is_reset() -> None:
+    """Guards against a new connection, a round trip more, for most requests."""
+    limit = IdleLimit()
+    assert limit.allowed_s(True, 100.0) == MAX_REPEATABLE_S
+    assert limit.allowed_s(False, 100.0) == MAX_ONCE_S
+
+
+def test_a_reset_after_a_rest_shortens_the_next_rests() -> None:
+    """Guards requests that run once against upstreams that forget connections."""
+    limit = IdleLimit()
+    limit.note_reset(0.4, 0.01, 100.0)
+    assert limit.allowed_s(False, 100.1) < 0.3
+    assert limit.allowed_s(True, 100.1) < 0.3
+
+
+def test_a_later_reset_after_a_long_rest_does_not_allow_more() -> None:
+    limit = IdleLimit()
+    limit.note_reset(0.4, 0.01, 100.0)
+    limit.note_reset(8.0, 0.01, 100.1)
+    assert limit.allowed_s(True, 100.2) < 0.3
+
+
+def test_the_allowed_rest_grows_back() -> None:
+    limit = IdleLimit()
+    limit.note_reset(0.4, 0.01, 100.0)
+    later = 100.0 + 8 * DOUBLES_IN_S
+    assert limit.allowed_s(True, later) == MAX_REPEATABLE_S
+
+
+def test_an_answer_lost_after_its_work_says_nothing_of_rests() -> None:
+    """Guards against new connections for all requests when answers are lost."""
+    limit = IdleLimit()
+    limit.note_reset(0.3, 0.5, 100.0)
+    assert limit.allowed_s(True, 100.1) == MAX_REPEATABLE_S
