Name hosts in look-ups as often as their link and processor carry

The weight compared a host with the median link, which is a narrow one there, so all hosts were named alike, and 1313 of 22218 requests took over half of their objective to reach an upstream. Ruled out: processor time (0.07 cores of 1 to 2). Change: a host is named as often as its capacity (the lesser of link and processor, in requests a second) compares with the strongest of the region.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -179,7 +179,7 @@
     member = Member(cfg.host, cfg.zone, cfg.region)
     member.front = cfg.front or Address(cfg.host_ip, 1)
     member.peer = cfg.peer
-    member.link_mbps = cfg.link_mbps
+    member.capacity_per_s = cfg.capacity_per_s
     member.incarnation = rng.getrandbits(62)
     return member
 
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -20,11 +20,11 @@
     """One host; times are this host's monotonic clock in seconds."""
 
     __slots__ = (
+        "capacity_per_s",
         "front",
         "heard_at",
         "host",
         "incarnation",
-        "link_mbps",
         "news",
         "peer",
         "ready",
@@ -39,7 +39,7 @@
         self.region = region
         self.front = Address("0.0.0.0", 1)  # where callers connect
         self.peer = Address("0.0.0.0", 1)  # where hosts talk to each other
-        self.link_mbps = 0.0  # bandwidth of its link
+        self.capacity_per_s = 1.0  # requests that its link and processor carry
         self.incarnation = 0
         self.sequence = 0
         self.ready = False
@@ -115,21 +115,18 @@
         near = [item for item in ready if item.region == region]
         if not near and homes:
             near = [item for item in ready if item.region in homes]
-        chosen = self._by_link(near or ready)
+        chosen = self._by_capacity(near or ready)
         self._rng.shuffle(chosen)
         return [item.front for item in chosen[:MAX_ADDRESSES]]
 
-    def _by_link(self, hosts: list[Member]) -> list[Member]:
-        """Leave hosts out as often as their link is narrower than usual.
+    def _by_capacity(self, hosts: list[Member]) -> list[Member]:
+        """Leave hosts out as often as they carry less than the strongest.
 
         Callers take any address of an answer alike, so a host's share of them
-        follows from how many answers name it.
+        follows from how many answers name it. On a narrow link an even share of
+        the callers' bytes waits for most of the time that a request has.
         """
-        if not hosts:
-            return []
-        links = sorted(item.link_mbps for item in hosts)
-        usual = links[(len(links) - 1) // 2]
-        chosen = [
-            item for item in hosts if self._rng.random() * usual <= item.link_mbps
+        most = max((item.capacity_per_s for item in hosts), default=0.0)
+        return [
+            item for item in hosts if self._rng.random() * most <= item.capacity_per_s
         ]
-        return chosen or [max(hosts, key=lambda item: item.link_mbps)]
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -47,7 +47,7 @@
     sequence: int
     ready: bool
     news: dict[str, int]  # newest row that it knows, by table
-    link_mbps: float
+    capacity_per_s: float
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -162,7 +162,7 @@
                 own.sequence,
                 own.ready,
                 own.news,
-                own.link_mbps,
+                own.capacity_per_s,
             )
         )
         live = {member.host for member in self._members.live(self._clock())}
@@ -201,7 +201,7 @@
         member.sequence = heartbeat.sequence
         member.ready = heartbeat.ready
         member.news = heartbeat.news
-        member.link_mbps = heartbeat.link_mbps
+        member.capacity_per_s = heartbeat.capacity_per_s
         was_live = member.host in {
             item.host for item in self._members.live(self._clock())
         }
--- a/samphirebend/gateway/settings.py
+++ b/samphirebend/gateway/settings.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from ..addresses import Address
 
+# What a request costs a host on average: bytes on its link each way, with the
+# larger bodies, and processor time.
+REQUEST_BYTES: Final = 16_000
+REQUEST_CPU_S: Final = 0.003
+BYTES_PER_MBIT: Final = 125_000
+
 
 class StoreSettings:
     """Where the store is."""
@@ -42,6 +50,7 @@
 
     __slots__ = (
         "bounds",
+        "cores",
         "directory",
         "front",
         "host",
@@ -62,6 +71,7 @@
         self.region = region
         self.host_ip = ""
         self.link_mbps = 1000.0  # bandwidth of the host's own link
+        self.cores = 1.0  # processor time that the host may use, in cores
         self.front: Address | None = None  # requests of callers
         self.ready: Address | None = None  # readiness checks
         self.directory: Address | None = None  # look-ups of callers
@@ -70,3 +80,9 @@
         self.regions: dict[str, str] = {}  # failure domain to region
         self.store = StoreSettings(Address("127.0.0.1", 1))
         self.bounds = Bounds()
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return the requests a second that the host's link and processor carry."""
+        by_link = self.link_mbps * BYTES_PER_MBIT / REQUEST_BYTES
+        return min(by_link, self.cores / REQUEST_CPU_S)
--- a/samphirebend/platform/settings.py
+++ b/samphirebend/platform/settings.py
@@ -52,6 +52,11 @@
     limits = own.get("limits", {})
     if "linkMbps" in limits:
         cfg.link_mbps = get_number(limits, "linkMbps", "self.limits")
+    if "cpuShare" in limits:
+        # Part of a core of usual speed, on each of `cores` cores.
+        share = get_number(limits, "cpuShare", "self.limits")
+        cores = get_number(limits, "cores", "self.limits") if "cores" in limits else 1
+        cfg.cores = share * cores
     network = get_field(data, "network", "settings")
     _read_network(cfg, network, get_texts(own, "serves", "self"))
     provider = get_field(data, "provider", "settings")
--- a/tests/unit/gateway/test_members.py
+++ b/tests/unit/gateway/test_members.py
@@ -65,20 +65,32 @@
     assert members.count() == 2
 
 
-def test_hosts_with_narrow_links_are_named_less_often() -> None:
-    # A link of 5 Mbit/s held requests for seconds at an even share of callers.
+def make_hosts(*capacities: float) -> Members:
     members = make_members()
-    members.own.link_mbps = 100.0
-    for number, link_mbps in ((1, 100.0), (2, 80.0), (3, 5.0)):
+    members.own.capacity_per_s = capacities[0]
+    for number, capacity in enumerate(capacities[1:], start=1):
         member = make_member(f"h{number}", "a")
-        member.link_mbps = link_mbps
+        member.capacity_per_s = capacity
         members.note_heartbeat(member, 10.0)
+    return members
+
+
+def test_hosts_that_carry_little_are_named_less_often() -> None:
+    # A link of 5 Mbit/s held requests for seconds at an even share of callers.
+    members = make_hosts(700.0, 700.0, 600.0, 40.0)
     named = [ports(members, "a", frozenset(), 10.5) for _ in range(400)]
     assert sum(3 in hosts for hosts in named) < 60
-    assert all({0, 1, 2} <= hosts for hosts in named)
+    assert all({0, 1} <= hosts for hosts in named)
 
 
-def test_the_only_host_is_named_however_narrow_its_link() -> None:
-    members = make_members()
-    members.own.link_mbps = 5.0
+def test_many_weak_hosts_do_not_count_as_usual() -> None:
+    """Guards callers where most links are narrow and a few are wide."""
+    members = make_hosts(700.0, 700.0, 40.0, 40.0, 40.0)
+    named = [ports(members, "a", frozenset(), 10.5) for _ in range(400)]
+    assert sum(2 in hosts for hosts in named) < 60
+    assert all({0, 1} <= hosts for hosts in named)
+
+
+def test_the_only_host_is_named_however_little_it_carries() -> None:
+    members = make_hosts(0.0)
     assert ports(members, "a", frozenset(), 0.0) == {0}
--- a/tests/unit/platform/test_settings.py
+++ b/tests/unit/platform/test_settings.py
@@ -42,6 +42,15 @@
     assert (cfg.bounds.retry_ratio, cfg.bounds.stop_grace_s) == (0.3, 5)
 
 
+def test_capacity_follows_the_narrower_of_link_and_processor() -> None:
+    limits = "[self.limits]\ncpuShare = 0.5\ncores = 3\nlinkMbps = 5\n[network]\n"
+    cfg = decode_settings(SETTINGS.replace("[network]\n", limits)).unwrap()
+    assert cfg.cores == 1.5
+    assert cfg.capacity_per_s == pytest.approx(39.06, abs=0.01)
+    cfg.link_mbps = 1000.0
+    assert cfg.capacity_per_s == pytest.approx(500.0)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "path"),
     [
