Read entries of upstreams less often, and share how long connections may rest

Change: 0.8 s between feeds of entries (a leaving upstream has 2.5 s); rests of up to 6 s also for requests that run once, with what one host learned from resets told to all in heartbeats. The newest version of a table and whether a host is live are no longer computed over all rows and hosts for each heartbeat.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -40,7 +40,18 @@
 def main() -> None:
     """Print the slopes."""
     beat = Heartbeat(
-        "h", "z", "r", "10.0.0.1:1", "10.0.0.1:2", 1, 2, True, {"a": 1}, 9.0
+        "h",
+        "z",
+        "r",
+        "10.0.0.1:1",
+        "10.0.0.1:2",
+        1,
+        2,
+        True,
+        {"a": 1},
+        9.0,
+        9.0,
+        bytes(117),
     )
     data = _encoder.encode(beat)
     decode_us = best_us(partial(_heartbeats.decode, data), 10_000)
@@ -55,7 +66,8 @@
     for count in (14, 164, 1200):
         upstreams = [
             Upstream(
-                UpstreamEntry(f"u{number}", "s", Address("10.0.0.1", 80), "z"), "r"
+                UpstreamEntry(f"u{number}", "s", Address("10.0.0.1", 80), "z"),
+                "r",
             )
             for number in range(count)
         ]
--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -5,7 +5,6 @@
 import random
 import signal
 import time
-from collections.abc import Iterable
 from typing import Any, Final
 
 from loguru import logger
@@ -17,7 +16,7 @@
 from ..metrics import Metrics
 from .budgets import ColdLimit, RetryBudget
 from .dialect import Dialect
-from .follower import Follower
+from .follower import Follower, Tables
 from .forward import Gateway
 from .front import Front
 from .hostlist import HostList
@@ -46,7 +45,7 @@
         cfg: GatewaySettings,
         dialect: Dialect,
         store: RowStore,
-        tables: Iterable[str],
+        tables: Tables,
         log_budget: LogBudget,
         reactor: Any,
     ) -> None:
@@ -83,14 +82,21 @@
         self.follower = Follower(
             tables,
             store,
-            Replica(tables),
+            Replica(tables.names()),
             dialect.decode_row,
             self.view,
             reactor,
             clock,
         )
         self.peers = Peers(
-            self.members, self.follower, cfg.seeds, self.pool, reactor, clock, rng
+            self.members,
+            self.follower,
+            self.gateway.idle,
+            cfg.seeds,
+            self.pool,
+            reactor,
+            clock,
+            rng,
         )
         self.front = Front(
             dialect,
--- a/samphirebend/gateway/follower.py
+++ b/samphirebend/gateway/follower.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, Final
 
 from loguru import logger
@@ -23,21 +23,37 @@
 FEED_WAIT_S: Final = 10.0
 READ_TIMEOUT_S: Final = 1.5
 RETRY_S: Final = 0.3
-# Pause after an answer with rows: calls are priced, and changes come in series.
-FEED_PAUSE_S: Final = 0.2
+# Pauses after an answer with rows: calls are priced, and changes come in series. An
+# upstream that leaves must be left within 2.5 s of the entry that says so.
+OPERATOR_PAUSE_S: Final = 0.2
+ENTRIES_PAUSE_S: Final = 0.8
 # After trouble with the store, entries may be missing that come back.
 DISTURBED_S: Final = 4.0
 
 
+class Tables:
+    """Names of the tables that are followed."""
+
+    __slots__ = ("entries", "operator")
+
+    def __init__(self, operator: str, entries: str) -> None:
+        self.operator = operator  # configuration and evacuations
+        self.entries = entries  # what upstreams say of themselves
+
+    def names(self) -> tuple[str, str]:
+        """Return all names."""
+        return self.operator, self.entries
+
+
 class Follower:
     """Keeps the replica and the view up to date."""
 
     __slots__ = (
         "_clock",
         "_decode",
+        "_pauses",
         "_reactor",
         "_store",
-        "_tables",
         "_up",
         "_view",
         "answered_at",
@@ -48,7 +64,7 @@
 
     def __init__(
         self,
-        tables: Iterable[str],
+        tables: Tables,
         store: RowStore,
         replica: Replica,
         decode: Callable[[Row], News],
@@ -56,7 +72,10 @@
         reactor: Any,
         clock: Callable[[], float],
     ) -> None:
-        self._tables = list(tables)
+        self._pauses = {
+            tables.operator: OPERATOR_PAUSE_S,
+            tables.entries: ENTRIES_PAUSE_S,
+        }
         self._store = store
         self.replica = replica
         self._decode = decode
@@ -71,7 +90,7 @@
     def start(self) -> None:
         """Begin to follow all tables."""
         self.running = True
-        for table in self._tables:
+        for table in self._pauses:
             done = Deferred.fromCoroutine(self._follow(table))
             done.addErrback(self._note_bug, table)
 
@@ -81,7 +100,7 @@
 
     def connected(self) -> bool:
         """Tell whether the store answers for all tables."""
-        return all(self._up.get(table, False) for table in self._tables)
+        return all(self._up.get(table, False) for table in self._pauses)
 
     def take(self, table: str, changed: list[Row]) -> None:
         """Apply rows that changed."""
@@ -112,7 +131,7 @@
             self._take_page(table, read.ok_value, reads_whole)
             reads_whole = False
             if read.ok_value.rows:
-                await deferLater(self._reactor, FEED_PAUSE_S)
+                await deferLater(self._reactor, self._pauses[table])
 
     def _take_page(self, table: str, page: Page, whole: bool) -> None:
         if whole:
--- a/samphirebend/gateway/idle.py
+++ b/samphirebend/gateway/idle.py
@@ -2,8 +2,8 @@
 
 Upstreams state how long they keep idle connections, and some forget them sooner
 without a word: what is sent next is reset, and a request that may not run twice is
-then lost. A reset after a rest therefore shortens the rests allowed from then on;
-while nothing is reset the allowed rest grows back.
+then lost. A reset after a rest therefore shortens the rests allowed from then on, at
+all hosts, which tell each other; while nothing is reset the allowed rest grows back.
 """
 
 from __future__ import annotations
@@ -15,11 +15,14 @@
 PROMPT_S: Final = 0.2
 # Longest rests; a request that may run again only costs a further try when reset.
 MAX_REPEATABLE_S: Final = 9.0
-MAX_ONCE_S: Final = 2.0
+MAX_ONCE_S: Final = 6.0
 MIN_REST_S: Final = 0.05
 # Part of the rest after which a connection was reset that is still allowed.
 SHRINK: Final = 0.5
 DOUBLES_IN_S: Final = 20.0
+# A limit heard from another host counts if it is below this part of the own one:
+# those that learned the same are a moment old, and would hold each other down.
+NEWS_SHARE: Final = 0.7
 
 
 class IdleLimit:
@@ -47,3 +50,9 @@
         shortest = min(self.allowed_s(True, now), rested_s * SHRINK)
         self._limit_s = max(MIN_REST_S, shortest)
         self._learned_at = now
+
+    def merge(self, heard_s: float, now: float) -> None:
+        """Take the rest that another host allows, if that host has learned more."""
+        if heard_s < NEWS_SHARE * self.allowed_s(True, now):
+            self._limit_s = max(MIN_REST_S, heard_s)
+            self._learned_at = now
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -83,6 +83,11 @@
         """Return all other hosts."""
         return list(self._others.values())
 
+    def is_live(self, host: str, now: float) -> bool:
+        """Tell whether another host was heard lately."""
+        item = self._others.get(host)
+        return item is not None and now - item.heard_at < LIVE_S
+
     def live(self, now: float) -> list[Member]:
         """Return the other hosts that were heard lately."""
         return [item for item in self._others.values() if now - item.heard_at < LIVE_S]
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -22,6 +22,7 @@
 from ..httpserver import HttpServer
 from ..serverrequest import ServerRequest
 from .follower import Follower
+from .idle import IdleLimit
 from .members import Member, Members
 from .replica import Row
 
@@ -48,6 +49,7 @@
     ready: bool
     news: dict[str, int]  # newest row that it knows, by table
     capacity_per_s: float
+    idle_rest_s: float  # for how long it lets connections to upstreams rest
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -77,6 +79,7 @@
         self,
         members: Members,
         follower: Follower,
+        idle: IdleLimit,
         seeds: Iterable[Address],
         pool: ConnectionPool,
         reactor: Any,
@@ -85,6 +88,7 @@
     ) -> None:
         self._members = members
         self._follower = follower
+        self._idle = idle
         self._seeds = list(seeds)
         self._pool = pool
         self._reactor = reactor
@@ -163,12 +167,13 @@
                 own.ready,
                 own.news,
                 own.capacity_per_s,
+                self._idle.allowed_s(True, self._clock()),
             )
         )
-        live = {member.host for member in self._members.live(self._clock())}
+        now = self._clock()
         all_round = self._round % SILENT_PERIOD == 0
         for member in self._members.others():
-            if all_round or member.host in live:
+            if all_round or self._members.is_live(member.host, now):
                 self._write(data, member.peer)
         if all_round:
             known = {member.peer for member in self._members.others()}
@@ -202,10 +207,10 @@
         member.ready = heartbeat.ready
         member.news = heartbeat.news
         member.capacity_per_s = heartbeat.capacity_per_s
-        was_live = member.host in {
-            item.host for item in self._members.live(self._clock())
-        }
-        if self._members.note_heartbeat(member, self._clock()):
+        now = self._clock()
+        was_live = self._members.is_live(member.host, now)
+        if self._members.note_heartbeat(member, now):
+            self._idle.merge(heartbeat.idle_rest_s, now)
             if not was_live:
                 self.notify()
             for table in self._follower.replica.versions():
--- a/samphirebend/gateway/replica.py
+++ b/samphirebend/gateway/replica.py
@@ -29,12 +29,13 @@
 class Replica:
     """Newest known rows of some tables."""
 
-    __slots__ = ("_complete", "_rows")
+    __slots__ = ("_complete", "_newest", "_rows")
 
     def __init__(self, tables: Iterable[str]) -> None:
         self._rows: dict[str, dict[str, Row]] = {table: {} for table in tables}
         # Version up to which all changes of a table are known.
         self._complete: dict[str, int] = dict.fromkeys(self._rows, 0)
+        self._newest: dict[str, int] = dict.fromkeys(self._rows, 0)
 
     def version(self, table: str) -> int:
         """Return the version up to which a table is known; 0: nothing is."""
@@ -45,13 +46,12 @@
         return dict(self._complete)
 
     def newest(self, table: str) -> int:
-        """Return the version of the newest row of a table; 0: there is none."""
-        rows = self._rows[table].values()
-        return max((row.version for row in rows), default=0)
+        """Return the version of the newest row of a table; 0: there was none."""
+        return self._newest[table]
 
     def newest_all(self) -> dict[str, int]:
         """Return the version of the newest row of each table."""
-        return {table: self.newest(table) for table in self._rows}
+        return dict(self._newest)
 
     def merge(self, table: str, rows: Iterable[Row], complete: int) -> list[Row]:
         """Take rows that complete the table up to a version; return what changed."""
@@ -62,6 +62,7 @@
             if old is None or old.version < row.version:
                 known[row.key] = row
                 changed.append(row)
+                self._newest[table] = max(self._newest[table], row.version)
         self._complete[table] = max(self._complete[table], complete)
         self._forget_tombstones(table)
         return changed
--- a/samphirebend/platform/records.py
+++ b/samphirebend/platform/records.py
@@ -15,6 +15,7 @@
     ServicePolicy,
     UpstreamEntry,
 )
+from ..gateway.follower import Tables
 from ..gateway.news import (
     ConfigNews,
     EvacuationNews,
@@ -38,7 +39,7 @@
 
 OPERATOR_TABLE: Final = "op"
 UPSTREAM_TABLE: Final = "servers"
-TABLES: Final = (OPERATOR_TABLE, UPSTREAM_TABLE)
+TABLES: Final = Tables(OPERATOR_TABLE, UPSTREAM_TABLE)
 
 _CONFIG_KEY: Final = "config"
 _EVACUATION_PREFIX: Final = "evacuate/"
--- a/tests/unit/gateway/test_idle.py
+++ b/tests/unit/gateway/test_idle.py
@@ -44,3 +44,25 @@
     limit = IdleLimit()
     limit.note_reset(0.3, 0.5, 100.0)
     assert limit.allowed_s(True, 100.1) == MAX_REPEATABLE_S
+
+
+def test_what_one_host_learned_holds_at_the_others() -> None:
+    """Guards against one lost request at each host before all have learned."""
+    first, second = IdleLimit(), IdleLimit()
+    first.note_reset(0.4, 0.01, 100.0)
+    second.merge(first.allowed_s(True, 100.0), 100.1)
+    assert second.allowed_s(False, 100.2) < 0.3
+
+
+def test_hosts_that_tell_each_other_do_not_hold_the_rest_down() -> None:
+    limits = [IdleLimit() for _ in range(5)]
+    limits[0].note_reset(0.4, 0.01, 100.0)
+    heard = [limit.allowed_s(True, 100.0) for limit in limits]
+    now = 100.0
+    for _ in range(3000):
+        now += 0.1
+        for limit in limits:
+            for value in heard:
+                limit.merge(value, now)
+        heard = [limit.allowed_s(True, now) for limit in limits]
+    assert all(limit.allowed_s(True, now) == MAX_REPEATABLE_S for limit in limits)
