--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -5,9 +5,11 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 from loguru import logger
+from result import Err, Result
 from twisted.internet.defer import Deferred
 
 from ..addresses import Address
@@ -27,7 +29,7 @@
 from .placement import Placement
 from .replica import Replica
 from .rowstore import RowStore
-from .settings import GatewaySettings
+from .settings import GatewaySettings, differences
 from .stop import Stop
 from .upstreams import UpstreamBook
 from .view import View
@@ -36,6 +38,20 @@
 UPKEEP_S: Final = 0.2
 FORGET_GONE_S: Final = 20.0
 LOG_REPORT_S: Final = 1.0
+# Settings that a running process cannot change.
+FIXED_SETTINGS: Final = frozenset(
+    {
+        "directory",
+        "front",
+        "host",
+        "host_ip",
+        "peer",
+        "ready",
+        "region",
+        "store.address",
+        "zone",
+    }
+)
 
 
 class App:
@@ -152,6 +168,33 @@
         await self.kernel.stop()
         self.pool.close_all()
 
+    def reload(self, read: Result[GatewaySettings, str]) -> None:
+        """Apply settings that were read anew; keep the old ones if they are wrong."""
+        if isinstance(read, Err):
+            logger.error(
+                "settings not reloaded", event="reload_refused", why=read.err_value
+            )
+            return
+        cfg = read.ok_value
+        changed = differences(self._cfg, cfg)
+        bounds = cfg.bounds
+        self.gateway.budget.set_bounds(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self.gateway.cold.set_bounds(bounds.cold_over, bounds.cold_slack)
+        self.front.set_lookup_ttl_max(bounds.lookup_ttl_max_s)
+        self.stop.grace_s = bounds.stop_grace_s
+        self.members.own.capacity_per_s = cfg.capacity_per_s
+        self.book.add_regions(cfg.regions)
+        self.peers.add_seeds(cfg.seeds)
+        self._cfg = cfg
+        logger.info(
+            "settings reloaded",
+            event="reloaded",
+            changed=changed,
+            at_next_start=[name for name in changed if name in FIXED_SETTINGS],
+        )
+
     @property
     def stopping(self) -> bool:
         """Tell whether the planned stop has begun."""
@@ -193,8 +236,13 @@
     return member
 
 
-def run_app(app: App, reactor: Any) -> int:
-    """Run a gateway until it is told to stop; return the exit status."""
+def run_app(
+    app: App, read_settings: Callable[[], Result[GatewaySettings, str]], reactor: Any
+) -> int:
+    """Run a gateway until it is told to stop; return the exit status.
+
+    `read_settings` is called for each signal to reload them.
+    """
     status = [0]
 
     def fail(failure: Any) -> None:
@@ -210,10 +258,13 @@
     def on_signal(number: int, _frame: object) -> None:
         reactor.callFromThread(begin_stop)
 
+    def on_reload(number: int, _frame: object) -> None:
+        reactor.callFromThread(lambda: app.reload(read_settings()))
+
     def begin() -> None:
         signal.signal(signal.SIGTERM, on_signal)
         signal.signal(signal.SIGINT, on_signal)
-        signal.signal(signal.SIGHUP, lambda _number, _frame: None)
+        signal.signal(signal.SIGHUP, on_reload)
         Deferred.fromCoroutine(app.run()).addErrback(fail)
 
     reactor.callWhenRunning(begin)
--- a/samphirebend/gateway/budgets.py
+++ b/samphirebend/gateway/budgets.py
@@ -27,6 +27,10 @@
         self._first: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    def set_bounds(self, ratio: float, window_s: float, slack: float) -> None:
+        """Take changed bounds."""
+        self._ratio, self._window_s, self._slack = ratio, window_s, slack
+
     def note_request(self, service: str, now: float) -> None:
         """Count a caller's request to a service."""
         self._recent(self._first, service, now).append(now)
@@ -68,6 +72,10 @@
         self._slack = slack  # requests beyond it
         self._sent: dict[str, deque[float]] = {}
 
+    def set_bounds(self, over: float, slack: float) -> None:
+        """Take changed bounds."""
+        self._over, self._slack = over, slack
+
     def allows(
         self, upstream: str, per_s: float, hosts: int, position: int, now: float
     ) -> bool:
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -123,6 +123,7 @@
         "_last",
         "_life",
         "_object_print",
+        "_out_of_budget",
         "_req",
         "_route",
         "_service",
@@ -140,6 +141,7 @@
         self._service = ""
         self._deadline = 0.0
         self._object_print = 0
+        self._out_of_budget = False  # the hosts' retries are used up
         self._body = RequestBody(req)
         self._attempt: Attempt | None = None
         self._attempts = 0  # tries that reached an upstream
@@ -227,7 +229,8 @@
             if self._over or not self._may_try_again(route):
                 break
         if not self._over:
-            self._give_up(Refused("attempts-spent", SHED_RETRY_S))
+            reason = "budget-spent" if self._out_of_budget else "attempts-spent"
+            self._give_up(Refused(reason, SHED_RETRY_S))
 
     def _object_key(self) -> str:
         return self._caller.object_key or self._req.target
@@ -346,7 +349,9 @@
         if not route.idempotent and self._life.outcome() is not Outcome.DID_NOT_RUN:
             return False
         now = gateway.reactor.seconds()
-        return gateway.budget.allows(self._service, gateway.members.count(), now)
+        hosts = gateway.members.count()
+        self._out_of_budget = not gateway.budget.allows(self._service, hosts, now)
+        return not self._out_of_budget
 
     # Ends.
 
@@ -493,5 +498,6 @@
             attempts=self._attempts,
             retry_after_s=retry_after_s,
             elapsed_ms=round((gateway.reactor.seconds() - self._started) * 1000),
+            upstreams=len(gateway.view.book.usable(self._service)),
             config_version=config.version if config is not None else 0,
         )
--- a/samphirebend/gateway/front.py
+++ b/samphirebend/gateway/front.py
@@ -54,12 +54,16 @@
         self._metrics = gateway.metrics
         self._reactor = reactor
         self._clock = clock
-        self._ttl_s = min(LOOKUP_TTL_S, ttl_max_s)
+        self.set_lookup_ttl_max(ttl_max_s)
         self.gateway = gateway
         self.requests = HttpServer(self._handle, MAX_PIPELINED)
         self.listeners: list[tuple[HttpServer, Address]] = []
         view.limits_listeners.append(self._apply_limits)
 
+    def set_lookup_ttl_max(self, ttl_max_s: float) -> None:
+        """Bound the life of look-up answers, in seconds."""
+        self._ttl_s = min(LOOKUP_TTL_S, ttl_max_s)
+
     def add_listener(self, address: Address | None, callers: bool) -> None:
         """Add an address; `callers` tells whether requests come there."""
         if address is not None:
--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -62,7 +62,12 @@
         try:
             listed = msgspec.json.decode(value, type=ListedHost)
         except msgspec.DecodeError as exc:
-            logger.warning("listed host ignored: {}", exc, event="row_ignored")
+            logger.warning(
+                "listed host ignored",
+                event="row_ignored",
+                row=f"{HOSTS_TABLE}/{host}",
+                why=str(exc),
+            )
             return
         member = Member(host, listed.zone, listed.region)
         member.front = parse_address(listed.front) or member.front
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -120,6 +120,10 @@
         await self._server.close_port()
         self._server.abort_all()
 
+    def add_seeds(self, seeds: Iterable[Address]) -> None:
+        """Greet further hosts, which tell of others."""
+        self._seeds += [seed for seed in seeds if seed not in self._seeds]
+
     def notify(self) -> None:
         """Send a heartbeat soon, because something changed."""
         if self._notice is None or not self._notice.active():
@@ -196,11 +200,21 @@
         try:
             heartbeat = _heartbeats.decode(datagram)
         except msgspec.DecodeError as exc:
-            logger.warning("heartbeat ignored: {}", exc, event="heartbeat_ignored")
+            logger.warning(
+                "heartbeat ignored",
+                event="heartbeat_ignored",
+                why=str(exc),
+                sender=addr,
+            )
             return
         front, peer = parse_address(heartbeat.front), parse_address(heartbeat.peer)
         if front is None or peer is None:
-            logger.warning("heartbeat without address", event="heartbeat_ignored")
+            logger.warning(
+                "heartbeat ignored",
+                event="heartbeat_ignored",
+                why="no address",
+                sender=addr,
+            )
             return
         member = Member(heartbeat.host, heartbeat.zone, heartbeat.region)
         member.front, member.peer = front, peer
--- a/samphirebend/gateway/settings.py
+++ b/samphirebend/gateway/settings.py
@@ -22,6 +22,18 @@
         self.address = address
 
 
+def differences(old: object, new: object, path: str = "") -> list[str]:
+    """Return the paths of the settings that differ."""
+    changed = []
+    for name in getattr(old, "__slots__", ()):
+        before, after = getattr(old, name), getattr(new, name)
+        if isinstance(before, StoreSettings | Bounds):
+            changed += differences(before, after, f"{path}{name}.")
+        elif before != after:
+            changed.append(path + name)
+    return changed
+
+
 class Bounds:
     """Limits that all hosts keep together, and times that the operator states."""
 
--- a/samphirebend/gateway/stop.py
+++ b/samphirebend/gateway/stop.py
@@ -26,7 +26,7 @@
 class Stop:
     """Runs the planned stop of one host."""
 
-    __slots__ = ("_front", "_gateway", "_grace_s", "_members", "_peers", "_reactor")
+    __slots__ = ("_front", "_gateway", "_members", "_peers", "_reactor", "grace_s")
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
         self._front = front
         self._members = members
         self._peers = peers
-        self._grace_s = grace_s
+        self.grace_s = grace_s  # from the signal to stop until the kill
         self._reactor = reactor
 
     async def run(self) -> None:
@@ -52,7 +52,7 @@
         self._peers.notify()
         # Callers that get an answer from now on connect anew, elsewhere.
         self._front.requests.draining = True
-        ends_at = begun + self._grace_s - KILL_MARGIN_S
+        ends_at = begun + self.grace_s - KILL_MARGIN_S
         serve_until = min(begun + SERVE_ON_S, ends_at)
         while self._reactor.seconds() < serve_until:
             await deferLater(self._reactor, CHECK_S)
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -282,6 +282,10 @@
         self.evacuated: set[str] = set()  # failure domains that get nothing
         self.generation = 0  # changes with the set of usable upstreams
 
+    def add_regions(self, regions: dict[str, str]) -> None:
+        """Take the regions of further failure domains."""
+        self._regions = {**self._regions, **regions}
+
     def get(self, name: str) -> Upstream | None:
         """Return an upstream by its id, or None."""
         return self._all.get(name)
--- a/samphirebend/platform/__main__.py
+++ b/samphirebend/platform/__main__.py
@@ -8,11 +8,12 @@
 from pathlib import Path
 from typing import Any, Final
 
-from result import Err
+from result import Err, Result
 
 from ..collector import limit_collections
 from ..gateway.app import App, run_app
 from ..gateway.logbudget import LogBudget, NonBlockingStream, event_of
+from ..gateway.settings import GatewaySettings
 from ..logs import set_up_logs
 from . import exchanges
 from .records import TABLES
@@ -22,17 +23,21 @@
 EXIT_BAD_SETTINGS: Final = 2
 
 
-def main() -> int:
-    """Read the settings and run until told to stop; return the exit status."""
+def read_settings() -> Result[GatewaySettings, str]:
+    """Return the settings, or what is wrong with their file."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
-        sys.stderr.write(f"{SETTINGS_VARIABLE}={path}: {exc}\n")
-        return EXIT_BAD_SETTINGS
-    read = decode_settings(text)
+        return Err(f"{SETTINGS_VARIABLE}={path}: {exc}")
+    return decode_settings(text).map_err(lambda fault: f"{path}: {fault}")
+
+
+def main() -> int:
+    """Read the settings and run until told to stop; return the exit status."""
+    read = read_settings()
     if isinstance(read, Err):
-        sys.stderr.write(f"{path}: {read.err_value}\n")
+        sys.stderr.write(f"{read.err_value}\n")
         return EXIT_BAD_SETTINGS
     cfg = read.ok_value
     budget = LogBudget()
@@ -52,7 +57,7 @@
     store = make_platform_store(cfg.store.address, reactor, time.monotonic, cfg.host_ip)
     app = App(cfg, exchanges, store, TABLES, budget, reactor)
     limit_collections()
-    return run_app(app, reactor)
+    return run_app(app, read_settings, reactor)
 
 
 if __name__ == "__main__":
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import signal
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
@@ -77,6 +78,13 @@
         )
         return self.child
 
+    def reload(self, old: str, new: str) -> None:
+        """Replace a part of the settings file and tell the process."""
+        text = self._settings.read_text()
+        assert old in text
+        self._settings.write_text(text.replace(old, new))
+        self.child.send(signal.SIGHUP)
+
     @property
     def address(self) -> str:
         """Return where callers connect."""
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -266,3 +266,24 @@
                 ended = True
     assert ended
     assert time.monotonic() - begun < 3.0
+
+
+def test_settings_are_reloaded_on_a_signal_and_wrong_ones_are_not(
+    system: System,
+) -> None:
+    """Guards a running host against a settings file that was damaged."""
+    gateway = system.gateways[0]
+
+    def lines(event: str) -> list[dict[str, Any]]:
+        return [item for item in gateway.events() if item.get("event") == event]
+
+    gateway.reload("graceS = 6", "graceS = 8\nbudgetSlack = 5")
+    eventually(lambda: lines("reloaded"), WAIT_S, "settings reloaded")
+    changed = ["bounds.retry_slack", "bounds.stop_grace_s"]
+    assert lines("reloaded")[0]["changed"] == changed
+    gateway.reload("graceS = 8", 'graceS = "soon"')
+    eventually(lambda: lines("reload_refused"), WAIT_S, "wrong settings refused")
+    assert "terms.bounds.graceS" in lines("reload_refused")[0]["why"]
+    gateway.reload('graceS = "soon"', "graceS = 6")
+    eventually(lambda: len(lines("reloaded")) == 2, WAIT_S, "settings mended")
+    assert system.get("/read/x")[0] == 200
