End a try at its deadline also where the caller has left

Cause: found by playing all histories of up to three tries (tests/unit/gateway/ test_histories.py): a request that may run once is let finish after its caller has left, and its deadline then did nothing, so that a silent upstream held the request for ever, and a planned stop waited for it. Ruled out: answers that are being passed on are still not cut at the deadline. The test fails without the change (1 failed, 5 passed). The histories (1000 ends of three tries, callers that stay or leave, both kinds) also check that nothing that may have run is sent again or said not to have run.

--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -409,10 +409,13 @@
 
     def _expire(self) -> None:
         """End the request at its deadline."""
+        attempt = self._attempt
         if self._over:
+            # Work that may run once was let finish after its caller had left.
+            if self._req.closed and attempt is not None:
+                attempt.cancel()
             return
         sent = self._life.outcome() is not Outcome.DID_NOT_RUN
-        attempt = self._attempt
         if attempt is not None:
             if attempt.streaming:
                 return  # the answer arrives already
