Refuse requests that crash upstreams at all hosts after the third crash

The product's quarantine is tied to the messages of its own daemons. Change: a request is suspect if it got no answer and its upstream takes no connection 0.15 s later; an answer clears it; after three upstreams it is refused for 60 s at all hosts, which hear of suspects with heartbeats. Fingerprints of requests have a module of their own. test_a_request_that_crashes_its_upstreams_is_refused_after_the_third failed before (five runs instead of three).

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -52,6 +52,7 @@
         9.0,
         9.0,
         bytes(117),
+        [],
     )
     data = _encoder.encode(beat)
     decode_us = best_us(partial(_heartbeats.decode, data), 10_000)
--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -34,9 +34,9 @@
 from .manifest import Host, Manifest
 from .membership import Membership
 from .metrics import Metrics
-from .quarantine import fingerprint
 from .relay import RelayClient, RelayMode
 from .serverrequest import ServerRequest
+from .suspects import fingerprint
 
 LOOKUP_PATH: Final = "/v1/lookup"
 SERVICES_PATH: Final = "/v1/services/"
--- /dev/null
+++ b/samphirebend/gateway/crashcheck.py
@@ -0,0 +1,63 @@
+"""Sees whether an upstream is gone after it lost a request."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from ..httpclient import ConnectionPool
+from .crashes import CrashWatch
+from .upstreams import Upstream
+
+# An upstream that crashed refuses connections at once; one that only lost an answer
+# goes on to take them.
+CHECK_DELAY_S: Final = 0.15
+
+
+class CrashChecks:
+    """Opens one connection to each upstream that lost requests."""
+
+    __slots__ = ("_crashes", "_lost", "_pool", "_reactor")
+
+    def __init__(self, crashes: CrashWatch, pool: ConnectionPool, reactor: Any) -> None:
+        self._crashes = crashes
+        self._pool = pool
+        self._reactor = reactor
+        # Fingerprints and ids of the requests lost at an upstream that is checked.
+        self._lost: dict[str, dict[int, str]] = {}
+
+    def begin(self, upstream: Upstream, suspect: int, request_id: str) -> None:
+        """Check an upstream that broke a request's connection without an answer."""
+        under_way = upstream.name in self._lost
+        self._lost.setdefault(upstream.name, {})[suspect] = request_id
+        if not under_way:
+            done = Deferred.fromCoroutine(self._check(upstream))
+            done.addErrback(self._note_bug, upstream.name)
+
+    async def _check(self, upstream: Upstream) -> None:
+        await deferLater(self._reactor, CHECK_DELAY_S)
+        entry = upstream.entry
+        alive = await self._pool.reaches(entry.address, entry.upstream)
+        lost = self._lost.pop(upstream.name)
+        if alive:
+            return
+        now = self._reactor.seconds()
+        upstream.note_unreachable(now)
+        for suspect, request_id in lost.items():
+            crashes = self._crashes.note_crash(suspect, upstream.name, now)
+            logger.info(
+                "upstream gone after a request",
+                event="crash_suspected",
+                request_id=request_id,
+                upstream=upstream.name,
+                crashes=crashes,
+            )
+
+    def _note_bug(self, failure: Any, upstream: str) -> None:
+        self._lost.pop(upstream, None)
+        logger.opt(exception=failure.value).error(
+            "checking an upstream failed", event="bug", upstream=upstream
+        )
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import xxhash
 from loguru import logger
 from twisted.internet.defer import Deferred
 
@@ -16,10 +17,12 @@
 from ..metrics import Metrics
 from ..requestlife import make_request_life
 from ..serverrequest import ServerRequest
+from ..suspects import fingerprint
 from .attempt import Attempt, AttemptEnd
 from .body import RequestBody
 from .budgets import ColdLimit, RetryBudget
 from .config import Route
+from .crashcheck import CrashChecks
 from .dialect import CallerFacts, Dialect
 from .learned import Learned
 from .members import Members
@@ -45,6 +48,7 @@
         "_rng",
         "budget",
         "cold",
+        "crash_checks",
         "dialect",
         "in_flight",
         "learned",
@@ -74,6 +78,7 @@
     ) -> None:
         self.dialect = dialect
         self.learned = learned
+        self.crash_checks = CrashChecks(learned.crashes, pool, reactor)
         self.view = view
         self.placement = placement
         self.members = members
@@ -221,6 +226,8 @@
         self._object_print = request.object_print
         while not self._over:
             now = self._gateway.reactor.seconds()
+            if self._is_suspect(now):
+                return
             choice = self._gateway.placement.choose(request, now)
             if isinstance(choice, Refused):
                 self._give_up(choice)
@@ -232,6 +239,27 @@
             reason = "budget-spent" if self._out_of_budget else "attempts-spent"
             self._give_up(Refused(reason, SHED_RETRY_S))
 
+    def _is_suspect(self, now: float) -> bool:
+        """Refuse a request that has crashed upstreams; return whether it was."""
+        crashes = self._gateway.learned.crashes
+        if not crashes:
+            return False
+        wait_s = crashes.refused_for_s(self._fingerprint(), now)
+        if not wait_s:
+            return False
+        if self._life.outcome() is Outcome.DID_NOT_RUN:
+            kind = ErrorKind.REQUEST_QUARANTINED
+            self._refuse(kind, wait_s, "crashes-upstreams")
+        else:
+            self._fail(ErrorKind.UPSTREAM_BROKEN)
+        return True
+
+    def _fingerprint(self) -> int:
+        """Return what names this request at whatever host its caller repeats it."""
+        req, body = self._req, self._body.whole or b""
+        digest = xxhash.xxh3_64_digest(body)
+        return fingerprint(self._caller.host, req.method, req.target, digest)
+
     def _object_key(self) -> str:
         return self._caller.object_key or self._req.target
 
@@ -309,6 +337,9 @@
         """Learn from a connection that ended without an answer."""
         if attempt.error is not ErrorKind.UPSTREAM_BROKEN:
             return
+        self._gateway.crash_checks.begin(
+            attempt.upstream, self._fingerprint(), self._caller.request_id
+        )
         if attempt.reused_connection:
             self._gateway.learned.idle.note_reset(attempt.rested_s, elapsed_s, now)
         else:
@@ -332,6 +363,8 @@
                 if self._may_try_again(route):
                     return
         else:
+            if self._gateway.learned.crashes:
+                self._gateway.learned.crashes.note_answer(self._fingerprint())
             shown = self._object_print
             upstream.note_answer(elapsed_s, shown, choice.queued, now)
             self._gateway.learned.note_answer(upstream, shown, attempt.facts.load)
--- a/samphirebend/gateway/learned.py
+++ b/samphirebend/gateway/learned.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from ..suspects import Suspect
+from .crashes import CrashWatch
 from .idle import IdleLimit
 from .observations import Observation, Observations, decode
 from .upstreams import Upstream, UpstreamBook
@@ -10,11 +14,12 @@
 class Learned:
     """What answers taught this host, with what it heard from the others."""
 
-    __slots__ = ("_book", "_recent", "idle")
+    __slots__ = ("_book", "_recent", "crashes", "idle")
 
     def __init__(self, book: UpstreamBook) -> None:
         self._book = book
         self._recent = Observations()
+        self.crashes = CrashWatch()
         self.idle = IdleLimit()
 
     def note_answer(
@@ -27,9 +32,16 @@
         """Return the observations since the last call, encoded for peers."""
         return self._recent.take()
 
-    def merge(self, idle_rest_s: float, observed: bytes, now: float) -> None:
+    def merge(
+        self,
+        idle_rest_s: float,
+        observed: bytes,
+        suspects: Iterable[Suspect],
+        now: float,
+    ) -> None:
         """Take what another host learned."""
         self.idle.merge(idle_rest_s, now)
+        self.crashes.merge(suspects, now)
         for item in decode(observed):
             upstream = self._book.get_by_print(item.upstream_print)
             if upstream is not None:
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -21,6 +21,7 @@
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpServer
 from ..serverrequest import ServerRequest
+from ..suspects import Suspect
 from .follower import Follower
 from .learned import Learned
 from .members import Member, Members
@@ -51,6 +52,7 @@
     capacity_per_s: float
     idle_rest_s: float  # for how long it lets connections to upstreams rest
     observed: bytes  # answers since its last heartbeat, see `observations`
+    suspects: list[tuple[int, int]]  # fingerprint of a request and its crashes
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -157,7 +159,7 @@
         self._heard = live
 
     def _send_all(self) -> None:
-        own = self._members.own
+        own, now = self._members.own, self._clock()
         own.sequence += 1
         own.news = self._follower.replica.newest_all()
         data = _encoder.encode(
@@ -172,11 +174,14 @@
                 own.ready,
                 own.news,
                 own.capacity_per_s,
-                self._learned.idle.allowed_s(True, self._clock()),
+                self._learned.idle.allowed_s(True, now),
                 self._learned.take_observed(),
+                [
+                    (item.fingerprint, item.crashes)
+                    for item in self._learned.crashes.shared(now)
+                ],
             )
         )
-        now = self._clock()
         all_round = self._round % SILENT_PERIOD == 0
         for member in self._members.others():
             if all_round or self._members.is_live(member.host, now):
@@ -226,7 +231,10 @@
         now = self._clock()
         was_live = self._members.is_live(member.host, now)
         if self._members.note_heartbeat(member, now):
-            self._learned.merge(heartbeat.idle_rest_s, heartbeat.observed, now)
+            suspects = [Suspect(*item) for item in heartbeat.suspects]
+            self._learned.merge(
+                heartbeat.idle_rest_s, heartbeat.observed, suspects, now
+            )
             if not was_live:
                 self.notify()
             for table in self._follower.replica.versions():
--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -32,6 +32,7 @@
 # An upstream may close an idle connection at any time; a short stay in the
 # pool makes it unlikely that a request is written to a connection being closed.
 MAX_IDLE_S: Final = 5.0
+NO_IDLE_S: Final = -1.0  # allows no idle connection
 MAX_HEADER_BYTES: Final = 32 * 1024
 # A closed connection counts against its upstream's limit for this long,
 # because the upstream may accept a new one before it notices the close.
@@ -394,6 +395,14 @@
         self.opened += 1
         return Ok(opened)
 
+    async def reaches(self, address: Address, upstream: str) -> bool:
+        """Tell whether a new connection can be opened; it is kept for later."""
+        acquired = await self.acquire(address, upstream, NO_IDLE_S)
+        if isinstance(acquired, Err):
+            return False
+        acquired.ok_value.put_back()
+        return True
+
     def note_closed(self, target: Target) -> None:
         """Stop counting a connection once its upstream has noticed the close."""
         if self._counter is not None and target[1]:
--- a/samphirebend/quarantine.py
+++ b/samphirebend/quarantine.py
@@ -17,9 +17,7 @@
 from enum import Enum, unique
 from typing import Final
 
-import xxhash
-
-from . import wire
+from .suspects import Suspect
 
 SUSPECT_S: Final = 60.0
 BLOCK_S: Final = 600.0
@@ -55,22 +53,6 @@
         return self.crashes >= CRASHES_TO_BLOCK
 
 
-def fingerprint(service: str, method: str, target: str, body_digest: bytes) -> int:
-    """Return the 64-bit fingerprint of a request.
-
-    Each part is preceded by its length, so that parts cannot be shifted into
-    each other.
-
-    >>> fingerprint("s", "GET", "/ab", b"") == fingerprint("s", "GET", "/a", b"b")
-    False
-    """
-    digest = xxhash.xxh3_64()
-    for part in (service.encode(), method.encode(), target.encode(), body_digest):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    return int(digest.intdigest())
-
-
 class Quarantine:
     """Suspects, and the requests in flight on each upstream of this host."""
 
@@ -84,11 +66,6 @@
         self._connecting: dict[str, int] = {}  # requests that wait for a connection
         self._claims: dict[str, int] = {}  # suspects that wait for each upstream
 
-    @staticmethod
-    def fingerprint(service: str, method: str, target: str, body_digest: bytes) -> int:
-        """Return the 64-bit fingerprint of a request."""
-        return fingerprint(service, method, target, body_digest)
-
     def _find(self, fingerprint: int, now: float) -> _Suspect | None:
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and now >= suspect.expires_at:
@@ -205,7 +182,7 @@
         suspect.expires_at = now + period_s
         self._suspects.move_to_end(fingerprint)
 
-    def merge(self, suspects: Iterable[wire.Suspect], now: float) -> None:
+    def merge(self, suspects: Iterable[Suspect], now: float) -> None:
         """Take the larger of the known and the heard crashes of each suspect.
 
         What is heard again without a further crash does not prolong the
@@ -222,14 +199,14 @@
                 known.crashes = heard.crashes
                 self._renew(heard.fingerprint, known, now)
 
-    def suspects(self, now: float) -> list[wire.Suspect]:
+    def suspects(self, now: float) -> list[Suspect]:
         """Return the suspects that this host saw crash an upstream, for peers.
 
         Hearsay is not passed on, since hosts would otherwise renew each
         other's suspects for ever.
         """
         return [
-            wire.Suspect(item, suspect.crashes)
+            Suspect(item, suspect.crashes)
             for item, suspect in self._suspects.items()
             if suspect.local and now < suspect.expires_at - TELL_MARGIN_S
         ]
--- a/samphirebend/wire.py
+++ b/samphirebend/wire.py
@@ -14,6 +14,8 @@
 
 import capnp
 
+from .suspects import Suspect
+
 # The loader needs a real file system path, and import hooks would run on any
 # module whose name ends in _capnp.
 capnp.remove_import_hook()
@@ -61,16 +63,6 @@
         self.overflow_free = overflow_free  # for requests of other regions
 
 
-class Suspect:
-    """A request fingerprint and the number of upstreams it has crashed."""
-
-    __slots__ = ("crashes", "fingerprint")
-
-    def __init__(self, fingerprint: int, crashes: int) -> None:
-        self.fingerprint = fingerprint
-        self.crashes = crashes
-
-
 class Heartbeat:
     """Periodic report of a host to its peers."""
 
--- a/tests/unit/gateway/test_histories.py
+++ b/tests/unit/gateway/test_histories.py
@@ -50,6 +50,14 @@
 ENDS: Final = ("no connection", "reset", "silent", *ANSWERS)
 NOT_RUN: Final = frozenset({"no connection", "refused", "other upstream"})
 PROMISES: Final = frozenset({408, 421, 429, 503})
+REQUEST: Final = (
+    b"POST /r/x HTTP/1.1\r\nHost: host\r\nAttempt-Id: r1\r\n"
+    b"Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nhi"
+)
+REQUESTS: Final = {
+    RequestKind.NON_IDEMPOTENT: REQUEST,
+    RequestKind.IDEMPOTENT: REQUEST.replace(b"POST", b"GET"),
+}
 TIME_LEFT_S: Final = 2.0
 MAX_ATTEMPTS: Final = 2
 
@@ -61,6 +69,7 @@
         self.ends = iter(ends)
         self.clock = clock
         self.open: list[tuple[ClientConnection, Transport, str]] = []
+        self.upstreams_live = True
         self.sent: list[str] = []  # ends of the tries that reached an upstream
 
     async def acquire(self, *_args: object) -> Result[ClientConnection, ErrorKind]:
@@ -74,6 +83,10 @@
         self.sent.append(end)
         return Ok(conn)
 
+    async def reaches(self, *_args: object) -> bool:
+        """Answer whether an upstream takes connections after a lost request."""
+        return self.upstreams_live
+
     def play(self) -> bool:
         """Let the newest exchange end; return whether there was one."""
         if not self.open:
@@ -101,11 +114,7 @@
         conn.callLater = clock.callLater
         self.transport = Transport()
         conn.makeConnection(self.transport)
-        method = b"GET" if kind is RequestKind.IDEMPOTENT else b"POST"
-        conn.dataReceived(
-            method + b" /r/x HTTP/1.1\r\nHost: host\r\nAttempt-Id: r1\r\n"
-            b"Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nhi"
-        )
+        conn.dataReceived(REQUESTS[kind])
         for step in itertools.count():
             if step == leaves_after:
                 conn.connectionLost(Failure(ConnectionLost()))
@@ -217,3 +226,24 @@
     for history, leaves_after in repeatable:
         if leaves_after is None and "answered" in history.pool.sent:
             assert history.status == 200, history.pool.sent
+
+
+def test_a_request_that_crashes_its_upstreams_is_refused_after_the_third() -> None:
+    """Guards upstreams against a caller that sends such a request again and again."""
+    clock = Clock()
+    pool = Pool(("reset",) * 9, clock)
+    pool.upstreams_live = False
+    gateway = make_gateway(RequestKind.NON_IDEMPOTENT, pool, clock)
+    statuses = []
+    for _ in range(5):
+        conn = HttpServerProtocol(HttpServer(gateway.handle))
+        conn.callLater = clock.callLater
+        transport = Transport()
+        conn.makeConnection(transport)
+        conn.dataReceived(REQUEST)
+        while pool.play():
+            pass
+        clock.advance(1.0)
+        statuses.append(transport.value().split(b" ")[1])
+    assert statuses == [b"502", b"502", b"502", b"503", b"503"]
+    assert len(pool.sent) == 3
--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -66,7 +66,7 @@
         observed = teller.take_observed()
         for hearer in learned:
             if hearer is not teller:
-                hearer.merge(MAX_REPEATABLE_S, observed, now)
+                hearer.merge(MAX_REPEATABLE_S, observed, [], now)
 
 
 def play(
--- a/tests/unit/gateway/test_observations.py
+++ b/tests/unit/gateway/test_observations.py
@@ -39,6 +39,6 @@
     upstream = next(iter(book.all()))
     learned.note_answer(upstream, fingerprint("1"), 2)
     data = learned.take_observed()
-    learned.merge(9.0, b"\0" * 9 + data + b"\1\2", 1.0)
+    learned.merge(9.0, b"\0" * 9 + data + b"\1\2", [], 1.0)
     assert upstream.knows(fingerprint("1"))
     assert not upstream.knows(fingerprint("2"))
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -25,7 +25,7 @@
 )
 from samphirebend.quarantine import Quarantine, Verdict
 from samphirebend.retries import RetryBudget
-from samphirebend.wire import Suspect
+from samphirebend.suspects import Suspect
 
 PEER = PeerPlace("north-1")
 OWN = Place(Mock(), Mock(), alone=False)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -6,7 +6,7 @@
 
 from samphirebend import quarantine
 from samphirebend.quarantine import Quarantine, Verdict
-from samphirebend.wire import Suspect
+from samphirebend.suspects import Suspect, fingerprint
 
 
 def crash(item: Quarantine, fingerprint: int, upstream: str, now: float) -> None:
@@ -142,9 +142,7 @@
 
 
 def test_parts_of_a_fingerprint_do_not_shift() -> None:
-    assert quarantine.fingerprint("ab", "c", "d", b"") != quarantine.fingerprint(
-        "a", "bc", "d", b""
-    )
+    assert fingerprint("ab", "c", "d", b"") != fingerprint("a", "bc", "d", b"")
 
 
 def test_size_is_bounded() -> None:
