--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -19,7 +19,6 @@
 from .budgets import ColdLimit, RetryBudget
 from .dialect import Dialect
 from .follower import Follower, Tables
-from .forward import Gateway
 from .front import Front
 from .hostlist import HostList
 from .learned import Learned
@@ -30,6 +29,7 @@
 from .replica import Replica
 from .rowstore import RowStore
 from .settings import GatewaySettings, differences
+from .shared import Gateway
 from .stop import Stop
 from .upstreams import UpstreamBook
 from .view import View
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-import random
-from collections.abc import Callable
 from typing import Any, Final
 
 import xxhash
@@ -13,22 +10,16 @@
 
 from ..errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
 from ..headers import end_to_end
-from ..httpclient import ConnectionPool
-from ..metrics import Metrics
 from ..requestlife import make_request_life
 from ..serverrequest import ServerRequest
 from ..suspects import fingerprint
 from .attempt import Attempt, AttemptEnd
 from .body import RequestBody
-from .budgets import ColdLimit, RetryBudget
 from .config import Route
-from .crashcheck import CrashChecks
-from .dialect import CallerFacts, Dialect
-from .learned import Learned
-from .members import Members
-from .placement import Placed, Placement, Refused, Request
+from .dialect import CallerFacts
+from .placement import Placed, Refused, Request
+from .shared import Gateway
 from .upstreams import Upstream
-from .view import View
 
 NO_CONFIG_RETRY_S: Final = 0.5
 STOPPING_RETRY_S: Final = 0.1
@@ -36,83 +27,15 @@
 # Tries without a connection that one request may make.
 MAX_UNREACHABLE: Final = 3
 SERVER_ERROR: Final = 500
-# Answers on time are logged one in this many.
-SUCCESS_SAMPLE: Final = 50
 
 
-class Gateway:
-    """Parts that the requests of one host share."""
-
-    __slots__ = (
-        "_numbers",
-        "_rng",
-        "budget",
-        "cold",
-        "crash_checks",
-        "dialect",
-        "in_flight",
-        "learned",
-        "members",
-        "metrics",
-        "on_idle",
-        "placement",
-        "pool",
-        "reactor",
-        "refusing",
-        "view",
-    )
-
-    def __init__(
-        self,
-        dialect: Dialect,
-        view: View,
-        placement: Placement,
-        members: Members,
-        budget: RetryBudget,
-        cold: ColdLimit,
-        learned: Learned,
-        pool: ConnectionPool,
-        metrics: Metrics,
-        reactor: Any,
-        rng: random.Random,
-    ) -> None:
-        self.dialect = dialect
-        self.learned = learned
-        self.crash_checks = CrashChecks(learned.crashes, pool, reactor)
-        self.view = view
-        self.placement = placement
-        self.members = members
-        self.budget = budget
-        self.cold = cold
-        self.pool = pool
-        self.metrics = metrics
-        self.reactor = reactor
-        self._rng = rng
-        self._numbers = itertools.count(1)
-        self.in_flight = 0
-        self.refusing = False  # the host takes no more requests
-        self.on_idle: Callable[[], None] | None = None
-
-    def handle(self, req: ServerRequest) -> None:
-        """Handle a request of a caller."""
-        self.in_flight += 1
-        forwarding = Forwarding(self, req)
-        done = Deferred.fromCoroutine(forwarding.run())
-        done.addErrback(forwarding.note_bug)
-        done.addBoth(self._end)
-
-    def _end(self, _result: object) -> None:
-        self.in_flight -= 1
-        if self.in_flight == 0 and self.on_idle is not None:
-            self.on_idle()
-
-    def next_number(self) -> int:
-        """Return a number for one try."""
-        return next(self._numbers)
-
-    def samples_success(self) -> bool:
-        """Tell whether this good answer is logged."""
-        return self._rng.random() * SUCCESS_SAMPLE < 1.0
+def handle(gateway: Gateway, req: ServerRequest) -> None:
+    """Handle a request of a caller."""
+    gateway.in_flight += 1
+    forwarding = Forwarding(gateway, req)
+    done = Deferred.fromCoroutine(forwarding.run())
+    done.addErrback(forwarding.note_bug)
+    done.addBoth(lambda _result: gateway.note_end())
 
 
 class Forwarding:
--- a/samphirebend/gateway/front.py
+++ b/samphirebend/gateway/front.py
@@ -12,8 +12,9 @@
 from ..serverrequest import ServerRequest
 from .config import CallerLimits
 from .dialect import Dialect
-from .forward import Gateway
+from .forward import handle
 from .members import Members
+from .shared import Gateway
 from .view import View
 
 LOOKUP_TTL_S: Final = 1
@@ -82,7 +83,7 @@
             server.abort_all()
 
     def _handle(self, req: ServerRequest) -> None:
-        self.gateway.handle(req)
+        handle(self.gateway, req)
 
     def _handle_own(self, req: ServerRequest) -> None:
         lookup = self._dialect.read_lookup(req)
--- a/samphirebend/gateway/stop.py
+++ b/samphirebend/gateway/stop.py
@@ -11,10 +11,10 @@
 from loguru import logger
 from twisted.internet.task import deferLater
 
-from .forward import Gateway
 from .front import Front
 from .members import Members
 from .peers import Peers
+from .shared import Gateway
 
 # Time for which requests are still taken after the stop began.
 SERVE_ON_S: Final = 3.2
--- a/tests/unit/gateway/test_histories.py
+++ b/tests/unit/gateway/test_histories.py
@@ -10,6 +10,7 @@
 import itertools
 import random
 from collections.abc import Iterator
+from functools import partial
 from typing import Any, Final
 from unittest.mock import Mock
 
@@ -22,10 +23,11 @@
 from samphirebend.errorcodes import ErrorKind
 from samphirebend.gateway.budgets import ColdLimit, RetryBudget
 from samphirebend.gateway.config import Config, RequestKind, ServicePolicy
-from samphirebend.gateway.forward import Gateway
+from samphirebend.gateway.forward import handle
 from samphirebend.gateway.learned import Learned
 from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.news import ConfigNews
+from samphirebend.gateway.shared import Gateway
 from samphirebend.gateway.view import View
 from samphirebend.httpclient import ClientConnection
 from samphirebend.httpserver import HttpServer, HttpServerProtocol
@@ -110,7 +112,7 @@
         clock = Clock()
         self.pool = Pool(ends, clock)
         gateway = make_gateway(kind, self.pool, clock)
-        conn = HttpServerProtocol(HttpServer(gateway.handle))
+        conn = HttpServerProtocol(HttpServer(partial(handle, gateway)))
         conn.callLater = clock.callLater
         self.transport = Transport()
         conn.makeConnection(self.transport)
@@ -236,7 +238,7 @@
     gateway = make_gateway(RequestKind.NON_IDEMPOTENT, pool, clock)
     statuses = []
     for _ in range(5):
-        conn = HttpServerProtocol(HttpServer(gateway.handle))
+        conn = HttpServerProtocol(HttpServer(partial(handle, gateway)))
         conn.callLater = clock.callLater
         transport = Transport()
         conn.makeConnection(transport)
