--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -50,7 +50,7 @@
         "_gateway",
         "_last",
         "_life",
-        "_object_print",
+        "_object_fingerprint",
         "_out_of_budget",
         "_req",
         "_route",
@@ -68,7 +68,7 @@
         self._route: Route | None = None
         self._service = ""
         self._deadline = 0.0
-        self._object_print = 0
+        self._object_fingerprint = 0
         self._out_of_budget = False  # the hosts' retries are used up
         self._body = RequestBody(req)
         self._attempt: Attempt | None = None
@@ -146,7 +146,7 @@
         route = self._route
         assert route is not None
         request = Request(route, self._service, self._object_key())
-        self._object_print = request.object_print
+        self._object_fingerprint = request.object_fingerprint
         while not self._over:
             now = self._gateway.reactor.seconds()
             if self._is_suspect(now):
@@ -288,7 +288,7 @@
         else:
             if self._gateway.learned.crashes:
                 self._gateway.learned.crashes.note_answer(self._fingerprint())
-            shown = self._object_print
+            shown = self._object_fingerprint
             upstream.note_answer(elapsed_s, shown, choice.queued, now)
             self._gateway.learned.note_answer(upstream, shown, attempt.facts.load)
         self._answer(attempt, choice, elapsed_s)
--- a/samphirebend/gateway/learned.py
+++ b/samphirebend/gateway/learned.py
@@ -23,10 +23,10 @@
         self.idle = IdleLimit()
 
     def note_answer(
-        self, upstream: Upstream, object_print: int, load: int | None
+        self, upstream: Upstream, object_fingerprint: int, load: int | None
     ) -> None:
         """Record a good answer, to be told to the others."""
-        self._recent.note(Observation(upstream.print, object_print, load))
+        self._recent.note(Observation(upstream.fingerprint, object_fingerprint, load))
 
     def take_observed(self) -> bytes:
         """Return the observations since the last call, encoded for peers."""
@@ -43,6 +43,6 @@
         self.idle.merge(idle_rest_s, now)
         self.crashes.merge(suspects, now)
         for item in decode(observed):
-            upstream = self._book.get_by_print(item.upstream_print)
+            upstream = self._book.get_by_fingerprint(item.upstream_fingerprint)
             if upstream is not None:
-                upstream.note_shared(item.object_print, item.load)
+                upstream.note_shared(item.object_fingerprint, item.load)
--- a/samphirebend/gateway/observations.py
+++ b/samphirebend/gateway/observations.py
@@ -29,13 +29,13 @@
 class Observation:
     """One good answer: who gave it, about which object, and the load it told."""
 
-    __slots__ = ("load", "object_print", "upstream_print")
+    __slots__ = ("load", "object_fingerprint", "upstream_fingerprint")
 
     def __init__(
-        self, upstream_print: int, object_print: int, load: int | None
+        self, upstream_fingerprint: int, object_fingerprint: int, load: int | None
     ) -> None:
-        self.upstream_print = upstream_print
-        self.object_print = object_print
+        self.upstream_fingerprint = upstream_fingerprint
+        self.object_fingerprint = object_fingerprint
         self.load = load  # requests that run or wait, with the answered one
 
 
@@ -55,8 +55,8 @@
         """Return what was recorded, encoded, and forget it."""
         parts = [
             _LAYOUT.pack(
-                item.upstream_print,
-                item.object_print,
+                item.upstream_fingerprint,
+                item.object_fingerprint,
                 NO_LOAD if item.load is None else min(item.load, NO_LOAD - 1),
             )
             for item in self._recent
@@ -68,7 +68,5 @@
 def decode(data: bytes) -> Iterator[Observation]:
     """Yield the observations of a heartbeat; a part of one is ignored."""
     whole = len(data) - len(data) % _LAYOUT.size
-    for upstream_print, object_print, load in _LAYOUT.iter_unpack(data[:whole]):
-        yield Observation(
-            upstream_print, object_print, None if load == NO_LOAD else load
-        )
+    for upstream, shown, load in _LAYOUT.iter_unpack(data[:whole]):
+        yield Observation(upstream, shown, None if load == NO_LOAD else load)
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -33,13 +33,13 @@
 class Request:
     """What the placement knows of a request."""
 
-    __slots__ = ("object_key", "object_print", "route", "service", "tried")
+    __slots__ = ("object_fingerprint", "object_key", "route", "service", "tried")
 
     def __init__(self, route: Route, service: str, object_key: str) -> None:
         self.route = route
         self.service = service
         self.object_key = object_key
-        self.object_print = fingerprint(object_key)
+        self.object_fingerprint = fingerprint(object_key)
         self.tried: set[str] = set()  # upstreams that it was sent to
 
 
@@ -183,7 +183,9 @@
     objective_s = request.route.objective_s
     options = []
     for place, upstream in enumerate(few):
-        known = upstream.knows(request.object_print) or (place == 0 and norm.settled)
+        known = upstream.knows(request.object_fingerprint) or (
+            place == 0 and norm.settled
+        )
         if place > 0 and not known and not _has_room(upstream, now):
             continue
         wait_s = upstream.wait_s(norm, objective_s, now)
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -71,10 +71,10 @@
         "connect_failures",
         "entry",
         "faulty",
+        "fingerprint",
         "gone_at",
         "in_flight",
         "mean_s",
-        "print",
         "region",
         "warm_s",
     )
@@ -90,7 +90,7 @@
         # Moving averages of the time of an answer; 0: none yet.
         self.warm_s = 0.0  # on an object that it knew
         self.mean_s = 0.0  # on any object
-        self.print = fingerprint(entry.upstream)
+        self.fingerprint = fingerprint(entry.upstream)
         # Fingerprints of the objects that it has handled, oldest first.
         self._warm: OrderedDict[int, None] = OrderedDict()
         self._others = 0.0  # requests of other hosts, as of the last report
@@ -154,7 +154,7 @@
         return sent_at
 
     def note_answer(
-        self, elapsed_s: float, object_print: int, queued: bool, now: float
+        self, elapsed_s: float, object_fingerprint: int, queued: bool, now: float
     ) -> None:
         """Record a good answer about an object and its time in seconds."""
         self._last_answer_at = now
@@ -163,19 +163,19 @@
         self.faulty *= 1.0 - AVERAGE_WEIGHT
         if not queued:
             self.mean_s = _average(self.mean_s, elapsed_s)
-            if object_print in self._warm:
+            if object_fingerprint in self._warm:
                 self.warm_s = _average(self.warm_s, elapsed_s)
-        self._note_object(object_print)
+        self._note_object(object_fingerprint)
 
-    def note_shared(self, object_print: int, load: int | None) -> None:
+    def note_shared(self, object_fingerprint: int, load: int | None) -> None:
         """Take what another host saw with an answer, up to a heartbeat ago."""
-        self._note_object(object_print)
+        self._note_object(object_fingerprint)
         if load is not None:
             self._average(load)
 
-    def knows(self, object_print: int) -> bool:
+    def knows(self, object_fingerprint: int) -> bool:
         """Tell whether it has handled an object lately."""
-        return object_print in self._warm
+        return object_fingerprint in self._warm
 
     def forget_objects(self) -> None:
         """Note that it has lost what it knew."""
@@ -211,10 +211,10 @@
         self._average_others += AVERAGE_WEIGHT * (others - self._average_others)
         return others
 
-    def _note_object(self, object_print: int) -> None:
+    def _note_object(self, object_fingerprint: int) -> None:
         """Remember that it has handled an object."""
-        self._warm[object_print] = None
-        self._warm.move_to_end(object_print)
+        self._warm[object_fingerprint] = None
+        self._warm.move_to_end(object_fingerprint)
         if len(self._warm) > MAX_WARM_OBJECTS:
             self._warm.popitem(last=False)
 
@@ -264,7 +264,7 @@
     __slots__ = (
         "_all",
         "_begun",
-        "_by_print",
+        "_by_fingerprint",
         "_by_service",
         "_norms",
         "_regions",
@@ -275,7 +275,7 @@
     def __init__(self, regions: dict[str, str]) -> None:
         self._regions = regions  # failure domain to region
         self._all: dict[str, Upstream] = {}
-        self._by_print: dict[int, Upstream] = {}
+        self._by_fingerprint: dict[int, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._norms: dict[str, ServiceNorm] = {}
         self._begun: dict[str, float] = {}  # first request of each service
@@ -290,9 +290,9 @@
         """Return an upstream by its id, or None."""
         return self._all.get(name)
 
-    def get_by_print(self, upstream_print: int) -> Upstream | None:
+    def get_by_fingerprint(self, upstream_fingerprint: int) -> Upstream | None:
         """Return an upstream by the fingerprint of its id, or None."""
-        return self._by_print.get(upstream_print)
+        return self._by_fingerprint.get(upstream_fingerprint)
 
     def all(self) -> Iterable[Upstream]:
         """Return all upstreams."""
@@ -312,7 +312,7 @@
             if entry.cold_left_s > 0:
                 known.cold_until = now + max(entry.cold_left_s, cold_s)
             self._all[entry.upstream] = known
-            self._by_print[known.print] = known
+            self._by_fingerprint[known.fingerprint] = known
         self._index()
 
     def remove(self, name: str, now: float) -> None:
@@ -348,7 +348,7 @@
             if item.gone_at is not None and item.gone_at < before and not item.in_flight
         ]
         for name in old:
-            self._by_print.pop(self._all.pop(name).print, None)
+            self._by_fingerprint.pop(self._all.pop(name).fingerprint, None)
         return old
 
     def note_request(self, service: str, now: float) -> None:
--- a/tests/unit/gateway/test_observations.py
+++ b/tests/unit/gateway/test_observations.py
@@ -18,7 +18,10 @@
     recent = Observations()
     recent.note(Observation(1, 2, 3))
     recent.note(Observation(2**32 - 1, 0, None))
-    back = [(o.upstream_print, o.object_print, o.load) for o in decode(recent.take())]
+    back = [
+        (o.upstream_fingerprint, o.object_fingerprint, o.load)
+        for o in decode(recent.take())
+    ]
     assert back == [(1, 2, 3), (2**32 - 1, 0, None)]
     assert recent.take() == b""
 
