--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,8 @@
 SLOW_STORE_S: Final = 0.4
 LOST_SHARE: Final = 0.4
 RELOADS: Final = 3
+SERVED_ON_S: Final = 5.0
+LOST_ANSWERS: Final = 0.4  # share of the answers of a weakened upstream
 CONFIG_GAP_S: Final = 0.25
 
 
@@ -220,8 +222,9 @@
     with _noted(world, fault, planned=True, upstream=name):
         upstream.register("draining")
         world.note("drain", name)
-        # It serves on for the time that hosts have to hear of it, and a little more.
-        time.sleep(max(fault.for_s, 3.5))
+        # It serves on for longer than hosts have to leave it, so that one that did
+        # not is seen.
+        time.sleep(fault.for_s + SERVED_ON_S)
         if upstream.name == name:
             world.replace_upstream(upstream)
 
@@ -235,7 +238,7 @@
         elif fault.how == "failing":
             upstream.failing_share = 0.5
         else:
-            upstream.lost_share = 0.2
+            upstream.lost_share = LOST_ANSWERS
         time.sleep(fault.for_s)
         upstream.work_s = WORK_S
         upstream.failing_share = upstream.lost_share = 0.0
