Keep a draining upstream of the soak from being registered as ready again

Traced from the records (drain at 22.93 s, cold until 23.37 s, requests until it was gone). Ruled out: the gateways, which followed the newest entry.

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -5,5 +5,6 @@
 from typing import Final
 
 REGRESSIONS: Final[dict[int, str]] = {
+    1033: "the soak's own fault: a draining upstream was registered as ready",
     1: "the soak's own fault: a process ended with the thread that had started it",
 }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -200,4 +200,10 @@
         upstream.born_ms = int(time.time() * 1000)
         self.records.cold[upstream.name] = time.time() + COLD_S
         upstream.register(cold_ms=int(COLD_S * 1000))
-        threading.Timer(COLD_S, upstream.register).start()
+        threading.Timer(COLD_S, self._end_cold, (upstream, upstream.name)).start()
+
+    @staticmethod
+    def _end_cold(upstream: UpstreamStandIn, name: str) -> None:
+        """Write the entry of an upstream that is no longer cold, unless it leaves."""
+        if upstream.name == name and not upstream.draining:
+            upstream.register()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -217,6 +217,7 @@
         self.lost_share = 0.0  # of requests that run and get no answer
         self.failing_share = 0.0  # of requests that run and are answered with 500
         self.address = ""  # that it registers; its own if empty
+        self.draining = False  # the state that it registered last
         self.born_ms = 0
         # Replaces the answer of a request; None: the usual answer.
         self.fault: Callable[[Exchange], bool] | None = None
@@ -237,6 +238,7 @@
         self.own_address = f"{ip}:{self.server.server_address[1]}"
 
     def register(self, state: str = "ready", cold_ms: int = 0) -> None:
+        self.draining = state == "draining"
         info = {
             "service": self.service,
             "version": "v1",
