Log a connection attempt that fails in an unexpected way

Cause: every exception while connecting became CONNECT_FAILED without a line, a fault of this program included. Refused, timed out and unreachable connections stay as they were (their requests' lines tell); anything else is logged with its traceback. Tests of the HTTP modules, histories, platform, thin path and drains: 63 passed.

--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -16,10 +16,11 @@
 from typing import Any, Final, Protocol as TypingProtocol
 
 import h11
+from loguru import logger
 from result import Err, Ok, Result
 from twisted.internet.abstract import FileDescriptor
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectError, ConnectionDone
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -389,7 +390,12 @@
         factory = _ClientFactory(_BoundPool(self, target))
         try:
             opened: ClientConnection = await endpoint.connect(factory)
+        except ConnectError:
+            # Who asked for the connection logs what became of the request.
+            self.note_closed(target)
+            return Err(ErrorKind.CONNECT_FAILED)
         except Exception:
+            logger.exception("connecting failed unexpectedly", target=str(address))
             self.note_closed(target)
             return Err(ErrorKind.CONNECT_FAILED)
         self.opened += 1
