Wait up to two heartbeats for the host that owns a repeated request's key

Cause: a host that has just started answered a repeat with 502 and an unknown outcome if it had not heard the key's owner yet: 2 of 11 fresh clusters beside 14 busy processes, both EXECUTOR_GONE at the host heard last, within 60 ms of the manifest being active. Ruled out: a failed relay (the owner ran the request once and was reachable from the third host), a stale manifest (look-ups were answered).

Change: the host waits for the owner's heartbeat, at most two intervals and never past the deadline; at once gone are owners that the manifest lacks or that were replaced.

--- a/samphirebend/entry.py
+++ b/samphirebend/entry.py
@@ -47,6 +47,8 @@
 KEYED_BODY_BYTES: Final = 1024 * 1024
 FRESH_WAIT_S: Final = 0.25
 FRESH_CHECK_S: Final = 0.02
+# Two heartbeats: time for a host that has just started to hear a key's owner.
+EXECUTOR_WAIT_S: Final = 1.0
 MAX_REQUEST_ID_LENGTH: Final = 128
 
 
@@ -354,7 +356,7 @@
 
     async def _relay_to_executor(self, job: Job, key: RequestKey) -> None:
         """Pass the request to the process that its key names."""
-        host = self._find_executor(key)
+        host = await self._wait_for_executor(job, key)
         if host is None:
             self._answer_failure(job, ErrorKind.EXECUTOR_GONE, Outcome.UNKNOWN)
             return
@@ -371,6 +373,21 @@
         else:
             self._answer_failure(job, relayed.kind, relayed.outcome)
 
+    async def _wait_for_executor(self, job: Job, key: RequestKey) -> Host | None:
+        """Return the host that owns a key; wait for one that was not heard yet."""
+        give_up_at = min(job.deadline, self._reactor.seconds() + EXECUTOR_WAIT_S)
+        while (host := self._find_executor(key)) is None:
+            if not self._may_be_heard(key) or self._reactor.seconds() >= give_up_at:
+                return None
+            await deferLater(self._reactor, FRESH_CHECK_S)
+        return host
+
+    def _may_be_heard(self, key: RequestKey) -> bool:
+        """Tell whether the process that a key names may still turn up."""
+        if self._manifest is None or key.host not in self._manifest.hosts:
+            return False
+        return not self._membership.was_replaced(key.host, key.incarnation)
+
     def _find_executor(self, key: RequestKey) -> Host | None:
         peer = self._membership.peer(key.host)
         if self._manifest is None or peer is None:
