Log which upstream a failed request waited for and how far upstreams are trusted

Change: request_failed names the upstream of the last try; upstream_health is written when a try changes how far its upstream is trusted, with the inputs.

--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -211,6 +211,7 @@
         finally:
             sent_at = upstream.note_end(number)
         self._note_end(attempt, choice, sent_at)
+        gateway.note_health(upstream, gateway.reactor.seconds())
 
     def _write(self, attempt: Attempt, choice: Placed) -> None:
         gateway = self._gateway
@@ -445,6 +446,7 @@
     ) -> None:
         gateway = self._gateway
         config = gateway.view.config
+        attempt = self._attempt
         logger.info(
             "request not answered by an upstream",
             event="request_failed",
@@ -455,6 +457,7 @@
             outcome=outcome.value,
             reason=reason,
             attempts=self._attempts,
+            upstream=attempt.upstream.name if attempt is not None else "",
             retry_after_s=retry_after_s,
             elapsed_ms=round((gateway.reactor.seconds() - self._started) * 1000),
             upstreams=len(gateway.view.book.usable(self._service)),
--- a/samphirebend/gateway/shared.py
+++ b/samphirebend/gateway/shared.py
@@ -6,6 +6,8 @@
 import random
 from typing import Any, Final
 
+from loguru import logger
+
 from ..httpclient import ConnectionPool
 from ..metrics import Metrics
 from .budgets import ColdLimit, RetryBudget
@@ -14,6 +16,7 @@
 from .learned import Learned
 from .members import Members
 from .placement import Placement
+from .upstreams import Upstream
 from .view import View
 
 # Answers on time are logged one in this many.
@@ -75,6 +78,28 @@
         """Note that a request is no longer handled."""
         self.in_flight -= 1
 
+    def note_health(self, upstream: Upstream, now: float) -> None:
+        """Log how far an upstream is trusted, if that changed."""
+        norm = self.view.book.norm(upstream.entry.service, now)
+        health = upstream.health(norm, now)
+        if health is upstream.logged_health:
+            return
+        logger.info(
+            "upstream's health changed",
+            event="upstream_health",
+            upstream=upstream.name,
+            service=upstream.entry.service,
+            zone=upstream.entry.zone,
+            before=upstream.logged_health.value,
+            health=health.value,
+            connect_failures=upstream.connect_failures,
+            faulty=round(upstream.faulty, 2),
+            usual_faulty=round(norm.faulty, 2),
+            warm_ms=round(upstream.warm_s * 1000),
+            usual_warm_ms=round(norm.warm_s * 1000),
+        )
+        upstream.logged_health = health
+
     def next_number(self) -> int:
         """Return a number for one try."""
         return next(self._numbers)
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -74,6 +74,7 @@
         "fingerprint",
         "gone_at",
         "in_flight",
+        "logged_health",
         "mean_s",
         "region",
         "warm_s",
@@ -86,6 +87,7 @@
         self.cold_until = 0.0
         self.gone_at: float | None = None  # when its entry was removed
         self.connect_failures = 0  # in a row
+        self.logged_health = Health.GOOD
         self.faulty = 0.0  # moving average: 1 for a failed answer, 0 for a good one
         # Moving averages of the time of an answer; 0: none yet.
         self.warm_s = 0.0  # on an object that it knew
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -1,4 +1,4 @@
-"""Guards the request path against decisions on too little news of manifest and peers."""
+"""Guards the request path against decisions on too little news of its cluster."""
 
 from __future__ import annotations
 
