Give a peer the whole table where the sender may not know of removals

Cause: a host that reads a table whole, after its start or lost history, knows no row that was removed before. Host orebro-hall-1 was cut off from the store from 4.0 to 13.4 s, the upstream left at 4.09 s, and the other hosts were restarted one after the other or lost the store's history. A peer that had read the table anew gave the cut host its changes with its version, but no removal; the host took its table for complete up to that version and followed the store from there. Ruled out: the failed tries told with heartbeats, which decide among registered upstreams only; held entries (2.2 s).

Change: a replica notes from which version on it knows all removals, and sends the whole table to hosts that are behind that. The test plays all histories of two hosts and up to ten events (write, whole read, feed, fetch from the peer, restart), and generated ones of three hosts: both fail without the change.

--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -25,7 +25,7 @@
 from .follower import Follower
 from .learned import Learned
 from .members import Member, Members
-from .replica import Row
+from .replica import Row, Transfer
 
 HEARTBEAT_S: Final = 0.5
 # Heartbeats to hosts that have not answered are sent one time in this many.
@@ -68,6 +68,7 @@
 
     rows: list[SentRow]
     version: int
+    whole: bool = False  # all present rows, not the changes
 
 
 _encoder: Final = msgspec.msgpack.Encoder()
@@ -272,7 +273,9 @@
             return
         sent = _rows.decode(called.ok_value[1])
         rows = [Row(table, row.key, row.value, row.version) for row in sent.rows]
-        changed = self._follower.replica.merge(table, rows, sent.version)
+        changed = self._follower.replica.take(
+            table, Transfer(rows, sent.version, sent.whole)
+        )
         logger.info(
             "rows fetched from a peer",
             event="rows_fetched",
@@ -280,6 +283,7 @@
             table=table,
             after=after,
             version=sent.version,
+            whole=sent.whole,
             changed=len(changed),
         )
         self._follower.take(table, changed)
@@ -292,11 +296,9 @@
         if path != ROWS_PATH or table not in replica.versions() or not after.isdigit():
             req.respond(404, [], b"")
             return
-        rows = [
-            SentRow(row.key, row.value, row.version)
-            for row in replica.since(table, int(after))
-        ]
-        answer = SentRows(rows, replica.version(table))
+        transfer = replica.transfer(table, int(after))
+        rows = [SentRow(row.key, row.value, row.version) for row in transfer.rows]
+        answer = SentRows(rows, transfer.version, transfer.whole)
         req.respond(200, [], _encoder.encode(answer))
 
     def _note_bug(self, failure: Any, table: str) -> None:
--- a/samphirebend/gateway/replica.py
+++ b/samphirebend/gateway/replica.py
@@ -4,6 +4,10 @@
 grows. A newer row replaces an older one, whoever brought it, and never the other
 way round; a removed row stays as a tombstone, so that a late copy of it cannot
 return. A host can thus take news from any source in any order.
+
+A table read whole tells what is there, not what was removed before. A host that has
+read it so gives the whole table to others that knew it at an earlier version: the
+changes alone would leave rows with them that were removed in between.
 """
 
 from __future__ import annotations
@@ -26,15 +30,28 @@
         self.version = version
 
 
+class Transfer:
+    """Rows for another host, and the version up to which they complete its table."""
+
+    __slots__ = ("rows", "version", "whole")
+
+    def __init__(self, rows: list[Row], version: int, whole: bool) -> None:
+        self.rows = rows
+        self.version = version
+        self.whole = whole  # the table's present rows, not the changes to it
+
+
 class Replica:
     """Newest known rows of some tables."""
 
-    __slots__ = ("_complete", "_newest", "_rows")
+    __slots__ = ("_complete", "_history_from", "_newest", "_rows")
 
     def __init__(self, tables: Iterable[str]) -> None:
         self._rows: dict[str, dict[str, Row]] = {table: {} for table in tables}
         # Version up to which all changes of a table are known.
         self._complete: dict[str, int] = dict.fromkeys(self._rows, 0)
+        # Version after which all removals are known.
+        self._history_from: dict[str, int] = dict.fromkeys(self._rows, 0)
         self._newest: dict[str, int] = dict.fromkeys(self._rows, 0)
 
     def version(self, table: str) -> int:
@@ -69,6 +86,8 @@
 
     def replace(self, table: str, rows: Iterable[Row], version: int) -> list[Row]:
         """Take the whole table as of a version; return what changed."""
+        if version > self._complete[table]:
+            self._history_from[table] = version
         taken = list(rows)
         present = {row.key for row in taken}
         for key, old in self._rows[table].items():
@@ -76,6 +95,20 @@
                 taken.append(Row(table, key, None, version))
         return self.merge(table, taken, version)
 
+    def transfer(self, table: str, after: int) -> Transfer:
+        """Return what a host lacks that knows a table up to a version."""
+        whole = after < self._history_from[table]
+        rows = self.since(table, 0 if whole else after)
+        if whole:
+            rows = [row for row in rows if row.value is not None]
+        return Transfer(rows, self._complete[table], whole)
+
+    def take(self, table: str, transfer: Transfer) -> list[Row]:
+        """Take what another host sent; return what changed."""
+        if transfer.whole:
+            return self.replace(table, transfer.rows, transfer.version)
+        return self.merge(table, transfer.rows, transfer.version)
+
     def since(self, table: str, version: int) -> list[Row]:
         """Return the rows newer than a version, oldest first."""
         newer = [row for row in self._rows[table].values() if row.version > version]
@@ -89,3 +122,4 @@
         removed.sort(key=lambda row: row.version)
         for row in removed[: len(removed) // 2]:
             del known[row.key]
+            self._history_from[table] = max(self._history_from[table], row.version)
--- a/tests/unit/gateway/test_replica.py
+++ b/tests/unit/gateway/test_replica.py
@@ -1,7 +1,15 @@
-"""Guards the replica: no order of news ever brings an older row back."""
+"""Guards the replica: no order of news ever brings an older row back.
+
+Hosts read the store whole, follow it, restart, and take rows from each other, in
+any order. Whatever they did, a host that says it knows a table up to a version must
+show no row that was replaced or removed by then, and miss none that was there.
+"""
 
 from __future__ import annotations
 
+import copy
+from collections.abc import Callable, Iterator
+
 from hypothesis import given, settings, strategies as st
 
 from samphirebend.gateway.replica import Replica, Row
@@ -63,7 +71,7 @@
     replica.merge("op", [Row("op", "u1", None, 3)], 3)
     behind = Replica(["op"])
     behind.merge("op", make_history([("config", False), ("u1", False)]), 2)
-    changed = behind.merge("op", replica.since("op", 2), replica.version("op"))
+    changed = behind.take("op", replica.transfer("op", 2))
     assert [(row.key, row.value) for row in changed] == [("u1", None)]
 
 
@@ -72,3 +80,118 @@
     replica.merge("op", make_history([("config", False), ("u1", False)]), 2)
     changed = replica.replace("op", [Row("op", "config", b"v1", 1)], 5)
     assert [(row.key, row.value) for row in changed] == [("u1", None)]
+
+
+class Fleet:
+    """A store of one table and the replicas of some hosts."""
+
+    def __init__(self, hosts: int) -> None:
+        self.history: list[Row] = []
+        self.replicas = [Replica(["op"]) for _ in range(hosts)]
+
+    def change(self, key: str) -> None:
+        """Write a key, or remove it if it is there."""
+        version = len(self.history) + 1
+        current = newest(self.history, version).get(key)
+        removes = current is not None and current.value is not None
+        value = None if removes else f"v{version}".encode()
+        self.history.append(Row("op", key, value, version))
+
+    def read(self, host: int) -> None:
+        """Read the whole table, as after a start or lost history."""
+        rows = newest(self.history, len(self.history)).values()
+        live = [row for row in rows if row.value is not None]
+        self.replicas[host].replace("op", live, len(self.history))
+
+    def follow(self, host: int) -> None:
+        """Take what the store's feed has."""
+        after = self.replicas[host].version("op")
+        rows = newest(self.history, len(self.history)).values()
+        newer = [row for row in rows if row.version > after]
+        self.replicas[host].merge("op", newer, len(self.history))
+
+    def fetch(self, host: int, peer: int) -> None:
+        """Take what another host has."""
+        replica = self.replicas[host]
+        sent = self.replicas[peer].transfer("op", replica.version("op"))
+        replica.take("op", sent)
+
+    def restart(self, host: int) -> None:
+        """Lose what a host knows."""
+        self.replicas[host] = Replica(["op"])
+
+    def faults(self) -> Iterator[str]:
+        """Yield each row that a host shows too long or misses."""
+        for host, replica in enumerate(self.replicas):
+            complete = replica.version("op")
+            shown = {row.key: row for row in replica.since("op", 0)}
+            for key, row in newest(self.history, complete).items():
+                known = shown.get(key)
+                if known is not None and known.version >= row.version:
+                    continue
+                if known is not None and known.value is not None:
+                    yield f"host {host} shows {key} of {known.version}"
+                elif known is None and row.value is not None:
+                    yield f"host {host} misses {key} of {row.version}"
+
+    def state(self) -> tuple[object, ...]:
+        """Return what tells this state from others."""
+        versions = range(len(self.history) + 1)
+        tables = [
+            (
+                replica.version("op"),
+                tuple(replica.transfer("op", after).whole for after in versions),
+                tuple((r.key, r.value, r.version) for r in replica.since("op", 0)),
+            )
+            for replica in self.replicas
+        ]
+        return (len(self.history), *tables)
+
+
+def actions(hosts: int, keys: tuple[str, ...]) -> list[Callable[[Fleet], None]]:
+    """Return all that can happen next."""
+    found: list[Callable[[Fleet], None]] = []
+    for key in keys:
+        found.append(lambda fleet, key=key: fleet.change(key))  # type: ignore[misc]
+    for host in range(hosts):
+        found.append(lambda fleet, h=host: fleet.read(h))  # type: ignore[misc]
+        found.append(lambda fleet, h=host: fleet.follow(h))  # type: ignore[misc]
+        found.append(lambda fleet, h=host: fleet.restart(h))  # type: ignore[misc]
+        for peer in range(hosts):
+            if peer != host:
+                found.append(
+                    lambda fleet, h=host, p=peer: fleet.fetch(h, p)  # type: ignore[misc]
+                )
+    return found
+
+
+def test_no_short_history_of_two_hosts_shows_a_removed_row() -> None:
+    """Guards a host cut off from the store against peers that read it anew.
+
+    All histories of up to ten events with one key; equal states are tried once.
+    """
+    steps = actions(2, ("u1",))
+    level, seen = [Fleet(2)], set[tuple[object, ...]]()
+    for _ in range(10):
+        following = []
+        for fleet in level:
+            for step in steps:
+                child = copy.deepcopy(fleet)
+                step(child)
+                assert not list(child.faults())
+                state = child.state()
+                if state not in seen:
+                    seen.add(state)
+                    following.append(child)
+        level = following
+    assert len(seen) > 1000
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.lists(st.integers(0, 1000), min_size=12, max_size=40))
+def test_no_long_history_of_three_hosts_shows_a_removed_row(chosen: list[int]) -> None:
+    fleet = Fleet(3)
+    steps = actions(3, KEYS)
+    for number in chosen:
+        steps[number % len(steps)](fleet)
+        assert not list(fleet.faults())
