Place a request without a look at every upstream of its service

Cause: choosing walked over all upstreams of a service for each request, asked each for its health, and for each cold one computed this host's place among all hosts.

Change: the candidates are taken from the front of the object's order, no more than are needed; cold ones are looked at only where the others are too few. The usual figures of a service are medians of at most 100 of its upstreams.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import time
 from collections.abc import Callable
 from functools import partial
 
 from samphirebend.addresses import Address
-from samphirebend.gateway.config import UpstreamEntry
+from samphirebend.gateway.budgets import ColdLimit
+from samphirebend.gateway.config import (
+    RequestKind,
+    Route,
+    ServicePolicy,
+    UpstreamEntry,
+)
 from samphirebend.gateway.learned import Learned
 from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.peers import Heartbeat, _encoder, _heartbeats
+from samphirebend.gateway.placement import Placement, Request
 from samphirebend.gateway.ranking import rank
 from samphirebend.gateway.replica import Replica, Row
 from samphirebend.gateway.upstreams import Upstream, UpstreamBook
@@ -56,6 +64,34 @@
     print(f"{OBSERVED} answers of a heartbeat taken in {take_us:.1f} us")
 
 
+def print_placing(count: int, hosts: int, cold_share: float) -> None:
+    """Print what it costs to place a request of an object in use."""
+    members = Members(make_member(0), random.Random(1))
+    for number in range(1, hosts):
+        members.note_heartbeat(make_member(number), 1.0)
+    book = UpstreamBook({"z": "r"})
+    for number in range(count):
+        entry = UpstreamEntry(f"u{number}", "s", Address("10.0.0.1", 80), "z")
+        entry.slots = 3
+        entry.cold_left_s = 3.0 if number < cold_share * count else 0.0
+        book.put(entry, 3.0, 0.0)
+    cold = ColdLimit(1.5, 8.0)
+    placement = Placement(book, members, cold, random.Random(1))
+    policy = ServicePolicy("s")
+    policy.cold_per_s = 2.5
+    placement.apply({"s": policy})
+    route = Route("r", "host", "/", RequestKind.IDEMPOTENT)
+    route.objective_s = 0.6
+    clock = itertools.count(1)
+
+    def place() -> object:
+        now = 1.0 + next(clock) / 1e3
+        return placement.choose(Request(route, "s", "7"), now)
+
+    place_us = best_us(place, 200)
+    print(f"{count} upstreams, {cold_share:.0%} cold: placed in {place_us:.0f} us")
+
+
 def main() -> None:
     """Print the slopes."""
     here, there = "10.0.0.1:1", "10.0.0.1:2"
@@ -85,6 +121,9 @@
         ]
         rank_us = best_us(partial(rank, "7", upstreams), 50)
         print(f"{count} upstreams: order of an object {rank_us:.0f} us")
+    for count, hosts in ((14, 7), (164, 29), (1640, 290)):
+        print_placing(count, hosts, cold_share=0.0)
+        print_placing(count, hosts, cold_share=0.3)
     for count in (38, 400, 5000):
         replica = Replica(["t"])
         rows = [Row("t", str(number), b"x" * 200, number) for number in range(count)]
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -75,6 +75,16 @@
         self.retry_after_s = retry_after_s
 
 
+class Candidates:
+    """Upstreams of an object among which a request is placed."""
+
+    __slots__ = ("first", "settled")
+
+    def __init__(self) -> None:
+        self.first: Upstream | None = None  # in the object's order, however it fares
+        self.settled: list[Upstream] = []  # may be trusted, in the object's order
+
+
 class Placement:
     """Ranks the upstreams of each object and chooses among the first."""
 
@@ -109,22 +119,19 @@
         """Return where the request goes."""
         self._book.note_request(request.service, now)
         norm = self._book.norm(request.service, now)
-        ranked = [
-            item
-            for item in self._rankings.ranked(
-                request.service,
-                request.object_key,
-                request.route.home_regions,
-                near_first=request.route.kind is RequestKind.UPLOAD,
-            )
-            if item.name not in request.tried and self._warm_enough(item, now)
-        ]
-        if not ranked:
+        ranked = self._rankings.ranked(
+            request.service,
+            request.object_key,
+            request.route.home_regions,
+            near_first=request.route.kind is RequestKind.UPLOAD,
+        )
+        candidates = self._candidates(ranked, request.tried, norm, now)
+        if candidates.first is None:
             return self._refuse("no-upstream", MIN_RETRY_AFTER_S)
-        trial = self._trial(ranked, request, norm, now)
+        trial = self._trial(candidates.first, request, norm, now)
         if trial is not None:
             return trial
-        settled = _settled(ranked, norm, now)
+        settled = candidates.settled
         options = _options(settled[:SPREAD], request, norm, now)
         longest_s = _longest_wait(request.route, norm)
         in_time = [option for option in options if option.wait_s <= longest_s]
@@ -136,6 +143,50 @@
         shortest_s = min(option.wait_s for option in options)
         return self._refuse("upstreams-full", shortest_s)
 
+    def _candidates(
+        self, ranked: list[Upstream], tried: set[str], norm: ServiceNorm, now: float
+    ) -> Candidates:
+        """Return the first upstreams of an object that may be trusted.
+
+        One that has just started is slow and bears few requests, so objects move to
+        it only afterwards, unless the others are too few. Looks no further than
+        needed, since services have up to thousands of upstreams.
+        """
+        found = Candidates()
+        doubtful: list[Upstream] = []
+        cold: list[Upstream] = []
+        for item in ranked:
+            if item.name in tried:
+                continue
+            if item.is_cold(now):
+                cold.append(item)
+                continue
+            found.first = found.first or item
+            if item.health(norm, now) is Health.GOOD:
+                found.settled.append(item)
+                if len(found.settled) > SPREAD:
+                    return found
+            elif len(doubtful) <= SPREAD:
+                doubtful.append(item)
+        if len(found.settled) < SPREAD:
+            self._add_cold(found, cold, norm, now)
+        found.settled = found.settled or doubtful or self._warm_of(cold, now)
+        found.first = found.first or next(iter(found.settled), None)
+        return found
+
+    def _add_cold(
+        self, found: Candidates, cold: list[Upstream], norm: ServiceNorm, now: float
+    ) -> None:
+        for item in cold:
+            is_good = item.health(norm, now) is Health.GOOD
+            if is_good and self._warm_enough(item, now):
+                found.settled.append(item)
+                if len(found.settled) > SPREAD:
+                    return
+
+    def _warm_of(self, cold: list[Upstream], now: float) -> list[Upstream]:
+        return [item for item in cold if self._warm_enough(item, now)]
+
     def _warm_enough(self, upstream: Upstream, now: float) -> bool:
         if not upstream.is_cold(now):
             return True
@@ -148,7 +199,7 @@
         )
 
     def _trial(
-        self, ranked: list[Upstream], request: Request, norm: ServiceNorm, now: float
+        self, first: Upstream, request: Request, norm: ServiceNorm, now: float
     ) -> Placed | None:
         """Send a request that may be repeated to a doubtful upstream now and then.
 
@@ -156,7 +207,6 @@
         in its order of hosts: all together make fewer than two trials in the shortest
         one, and one host that cannot reach it does not keep the others from it.
         """
-        first = ranked[0]
         if not request.route.idempotent or request.tried:
             return None
         if first.health(norm, now) is not Health.DOUBTFUL:
@@ -173,19 +223,6 @@
         return Refused(reason, wait_s * self._rng.uniform(0.8, 1.6))
 
 
-def _settled(ranked: list[Upstream], norm: ServiceNorm, now: float) -> list[Upstream]:
-    """Return the upstreams of an object that may be trusted.
-
-    One that has just started is slow and bears few requests, so objects move to
-    it only afterwards, unless the others are too few.
-    """
-    good = [item for item in ranked if item.health(norm, now) is Health.GOOD]
-    settled = [item for item in good if not item.is_cold(now)]
-    if len(settled) < SPREAD:
-        settled += [item for item in good if item.is_cold(now)]
-    return settled or ranked
-
-
 def _options(
     few: list[Upstream], request: Request, norm: ServiceNorm, now: float
 ) -> list[Placed]:
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -27,6 +27,7 @@
 # Age up to which a good answer to this host outweighs what failed at others.
 OWN_ANSWER_FRESH_S: Final = 1.0
 NORM_INTERVAL_S: Final = 0.1
+NORM_SAMPLE: Final = 100  # upstreams whose median stands for all
 # Time after the first request of a service by when most objects were handled once.
 SETTLE_S: Final = 4.0
 # Objects remembered as handled by one upstream.
@@ -392,6 +393,7 @@
         norm = self._norms.get(service)
         if norm is None or now - norm.made_at > NORM_INTERVAL_S:
             usable = self.usable(service)
+            usable = usable[:: len(usable) // NORM_SAMPLE + 1]
             norm = ServiceNorm(
                 _median([item.warm_s for item in usable if item.warm_s]),
                 _median([item.mean_s for item in usable if item.mean_s]),
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -10,6 +10,7 @@
 from samphirebend.gateway.observations import fingerprint
 from samphirebend.gateway.placement import Placed, Refused
 from samphirebend.gateway.ranking import rank
+from samphirebend.gateway.upstreams import Health, ServiceNorm, Upstream
 
 from .scene import (
     fill,
@@ -189,3 +190,47 @@
     )
     assert isinstance(choice, Placed)
     assert choice.upstream is not first
+
+
+def test_placing_looks_at_few_of_many_upstreams(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards processor time against a cost of each request that grows with the service.
+
+    With a third of 1,640 upstreams cold, one request took 37 ms.
+    """
+    book = make_book(1640)
+    for upstream in list(book.all())[::3]:
+        upstream.cold_until = 10.0
+    placement = make_placement(book)
+    placement.choose(make_request("1"), 1.0)
+    looked_at = 0
+    health = Upstream.health
+
+    def counted(upstream: Upstream, norm: ServiceNorm, now: float) -> Health:
+        nonlocal looked_at
+        looked_at += 1
+        return health(upstream, norm, now)
+
+    monkeypatch.setattr(Upstream, "health", counted)
+    assert isinstance(placement.choose(make_request("1"), 1.0), Placed)
+    assert looked_at <= 10
+
+
+def test_doubtful_upstreams_are_used_if_there_are_no_others() -> None:
+    book = make_book(6)
+    for upstream in book.all():
+        upstream.connect_failures = 1
+    placement = make_placement(book)
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    assert isinstance(placement.choose(make_request("1", route), 1.0), Placed)
+
+
+def test_cold_upstreams_are_used_if_there_are_no_others() -> None:
+    book = make_book(6)
+    for upstream in book.all():
+        upstream.cold_until = 10.0
+        upstream.connect_failures = 1
+    placement = make_placement(book)
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    assert isinstance(placement.choose(make_request("1", route), 1.0), Placed)
