--- a/tests/integration/test_caps.py
+++ b/tests/integration/test_caps.py
@@ -12,6 +12,7 @@
 import os
 import random
 import time
+from collections.abc import Collection
 from pathlib import Path
 from typing import Final
 
@@ -69,8 +70,15 @@
         print(f"seed {SEED}: {host} is chosen")
         return host
 
-    def load(self, rate: float, work_ms: int, seconds: float, **more: object) -> str:
-        """Start a load of all services in all regions; return its name."""
+    def load(
+        self,
+        rate: float,
+        work_ms: int,
+        seconds: float,
+        regions: Collection[str] = tuple(REGIONS),
+        **more: object,
+    ) -> str:
+        """Start a load of all services in some regions; return its name."""
         name = f"caller-{len(self.loads)}"
         self.loads.append(name)
         loads = [
@@ -84,7 +92,7 @@
                 "query": f"work_ms={work_ms}",
                 **more,
             }
-            for region in REGIONS
+            for region in regions
             for service in SERVICES
         ]
         plan: Data = {"loads": loads, "duration_s": seconds, "attempt_timeout_s": 30}
@@ -284,14 +292,22 @@
         assert not "\n".join(rig.violations())
 
 
-def start_overload(rig: Rig, seconds: float) -> tuple[str, float]:
-    """Start 1.5 times capacity without measurements; return the capacity too."""
+def start_overload(rig: Rig, seconds: float) -> tuple[list[str], float]:
+    """Start 1.5 times capacity without measurements; return the capacity too.
+
+    Each region has a load tool of its own: one for all needs most of a processor
+    and would measure its own queue.
+    """
     rig.cluster.control("*", health_lie="silent")
     rig.cluster.table_fault(endpoints=[])
     work_ms = 500
     capacity = TOTAL * 1000 / work_ms  # requests per second
     rate = OVERLOAD * capacity / (len(REGIONS) * len(SERVICES))
-    return rig.load(rate, work_ms, seconds, attempts=3), capacity
+    loads = [
+        rig.load(rate, work_ms, seconds, regions=[region], attempts=3)
+        for region in REGIONS
+    ]
+    return loads, capacity
 
 
 class Overload:
@@ -300,9 +316,10 @@
     def __init__(self, folder: Path) -> None:
         rig = run_rig(folder, delay_ms=35)
         with rig.cluster as cluster:
-            load, self.capacity = start_overload(rig, STALE_S + 6)
+            loads, self.capacity = start_overload(rig, STALE_S + 6)
             begin = time.time() + STALE_S + 1
-            rows = cluster.result(load)["services"].values()
+            results = [cluster.result(load)["services"] for load in loads]
+            rows = [row for result in results for row in result.values()]
             runs = [run for each in cluster.ledger().values() for run in each]
         done = [r for r in runs if r["state"] == "done" and 0 < r["end"] - begin < 4]
         self.goodput = len(done) / 4
@@ -337,7 +354,7 @@
     """Guards caps through failures, and the return of a dead host's slots."""
     rig = run_rig(tmp_path, delay_ms=35)
     with rig.cluster as cluster:
-        load, _ = start_overload(rig, 37)
+        loads, _ = start_overload(rig, 37)
         stale_at = time.time() + STALE_S
         eventually(lambda: time.time() > stale_at, 12, "stale measurements")
         killed = rig.pick("north")
@@ -358,6 +375,7 @@
         print(f"{lost}: {USABLE_SHARE:.0%} usable {back_s:.1f} s after the table")
 
         rig.lose_region("west")
-        cluster.result(load)
+        for load in loads:
+            cluster.result(load)
         assert not "\n".join(rig.violations())
         assert left >= USABLE_SHARE * (TOTAL - CAP / REGIONS["south"])
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,9 @@
 ROOT: Final = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S: Final = 15.0
 PR_SET_PDEATHSIG: Final = 1
+STACK_SAMPLES: Final = 5
+STACK_INTERVAL_S: Final = 0.5
+STACK_CHARS: Final = 20_000
 
 # Below the ephemeral range, so that no outgoing connection takes a port first.
 _ports = itertools.cycle(range(10_000, 32_000))
@@ -84,6 +87,15 @@
             )
         self.pid = self.process.pid
 
+    def print_stack(self) -> None:
+        """Print where a stand-in that does not answer is held up."""
+        for _ in range(STACK_SAMPLES):
+            self.process.send_signal(signal.SIGUSR1)
+            time.sleep(STACK_INTERVAL_S)
+        for name in ("schedstat", "wchan"):
+            print(f"{self.name} {name}:", Path(f"/proc/{self.pid}/{name}").read_text())
+        print(f"{self.name} stacks:\n{self.log.read_text()[-STACK_CHARS:]}")
+
     def running(self) -> bool:
         """Tell whether the process has not ended."""
         return self.process.poll() is None
--- a/tests/standins/launch.py
+++ b/tests/standins/launch.py
@@ -148,7 +148,11 @@
 
     def links(self) -> Data:
         """Return the proxy's connections, faults, and bytes by pair of regions."""
-        data: Data = http_json("GET", self.proxy, "/counts")[1]
+        try:
+            data: Data = http_json("GET", self.proxy, "/counts")[1]
+        except OSError:
+            self.children["proxy"].print_stack()
+            raise
         return data
 
     def start_caller(self, name: str, **plan: object) -> Child:
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -8,6 +8,8 @@
 import argparse
 import asyncio
 import contextlib
+import faulthandler
+import signal
 import socket
 import struct
 from collections.abc import Callable
@@ -104,4 +106,6 @@
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
     config = msgspec.json.decode(args.config.read_bytes())
+    # A stand-in that does not answer shows its stack (`Child.print_stack`).
+    faulthandler.register(signal.SIGUSR1, all_threads=True)
     asyncio.run(_serve(make(args.host, args.seed, config), args.host))
