Send heartbeats to a few hosts each in large fleets, and only when something is new

Change: from 48 hosts on, each host greets eight live ones drawn at random and two silent ones, and passes on up to 100 of the newest sequence numbers that it knows; silence then counts after 4 s. A start and a stop are still told to all. News of rows goes with the next heartbeat, and a new host is answered alone. Rows are fetched after 0.6 s, by a host without its store after 0.1 s.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -145,8 +145,10 @@
         self.follower.on_change = self._note_change
 
     def _note_change(self) -> None:
-        self.members.own.ready = self.view.config is not None and not self._stopping
-        self.peers.notify()
+        ready = self.view.config is not None and not self._stopping
+        if ready != self.members.own.ready:
+            self.members.own.ready = ready
+            self.peers.notify_all()
 
     async def run(self) -> None:
         """Start all services and list this host."""
--- /dev/null
+++ b/samphirebend/gateway/gossip.py
@@ -0,0 +1,100 @@
+"""Which hosts a host sends its heartbeats to, and what they pass on of others.
+
+Load this answers: hundreds of hosts. Heartbeats of all to all cost each host as many
+packets as there are hosts; a third of a core went to them with 300 hosts. Above
+`FULL_MESH` hosts each one greets a few drawn at random and passes on the newest
+sequence numbers that it knows of others, which reach all hosts within a few rounds.
+"""
+
+from __future__ import annotations
+
+import random
+import struct
+from collections.abc import Iterator
+from typing import Final
+
+from .members import FULL_MESH, Member, Members
+
+# Live hosts that get each heartbeat where not all do.
+FANOUT: Final = 8
+# Hosts not heard lately that get it too, so that they are found again.
+SILENT_FANOUT: Final = 2
+MAX_RELAYED: Final = 100
+# Sequence numbers heard up to this long ago are passed on.
+RELAY_AGE_S: Final = 1.0
+# Heartbeats to hosts that have not answered are sent one time in this many.
+SILENT_PERIOD: Final = 4
+_LAYOUT: Final = struct.Struct("<IIIB")
+
+
+class Relayed:
+    """What a host passes on of another host."""
+
+    __slots__ = ("host_fingerprint", "incarnation", "ready", "sequence")
+
+    def __init__(
+        self, host_fingerprint: int, incarnation: int, sequence: int, ready: bool
+    ) -> None:
+        self.host_fingerprint = host_fingerprint
+        self.incarnation = incarnation  # its low 32 bits
+        self.sequence = sequence  # of the newest heartbeat known
+        self.ready = ready
+
+
+class Gossip:
+    """Chooses receivers of heartbeats and what they are told of others."""
+
+    __slots__ = ("_members", "_rng", "_round")
+
+    def __init__(self, members: Members, rng: random.Random) -> None:
+        self._members = members
+        self._rng = rng
+        self._round = 0
+
+    def next_round(self) -> None:
+        """Begin the next round of heartbeats."""
+        self._round += 1
+
+    @property
+    def greets_silent(self) -> bool:
+        """Tell whether hosts that were not heard get this round's heartbeat too."""
+        return self._round % SILENT_PERIOD == 0
+
+    def receivers(self, now: float) -> list[Member]:
+        """Return the known hosts that get this round's heartbeat."""
+        others = self._members.others()
+        if len(others) < FULL_MESH:
+            if self.greets_silent:
+                return others
+            return self._members.live(now)
+        live = self._members.live(now)
+        names = {member.host for member in live}
+        silent = [member for member in others if member.host not in names]
+        chosen = self._rng.sample(live, min(FANOUT, len(live)))
+        return chosen + self._rng.sample(silent, min(SILENT_FANOUT, len(silent)))
+
+    def relayed(self, now: float) -> bytes:
+        """Return what is passed on of others, encoded."""
+        others = self._members.others()
+        if len(others) < FULL_MESH:
+            return b""
+        recent = [
+            member for member in others if 0.0 < now - RELAY_AGE_S < member.heard_at
+        ]
+        chosen = self._rng.sample(recent, min(MAX_RELAYED, len(recent)))
+        return b"".join(
+            _LAYOUT.pack(
+                member.fingerprint,
+                member.incarnation & 0xFFFFFFFF,
+                member.sequence & 0xFFFFFFFF,
+                member.ready,
+            )
+            for member in chosen
+        )
+
+
+def decode(data: bytes) -> Iterator[Relayed]:
+    """Yield what a heartbeat passes on; a part of an item is ignored."""
+    whole = len(data) - len(data) % _LAYOUT.size
+    for host, incarnation, sequence, ready in _LAYOUT.iter_unpack(data[:whole]):
+        yield Relayed(host, incarnation, sequence, bool(ready))
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -8,8 +8,13 @@
 import xxhash
 
 from ..addresses import Address
+from .observations import fingerprint
 
 LIVE_S: Final = 1.6  # silence after which callers are sent elsewhere
+# Number of hosts below which each one hears all others itself.
+FULL_MESH: Final = 48
+# The silence where others pass on most of what is heard.
+RELAYED_LIVE_S: Final = 4.0
 FORGET_S: Final = 60.0
 # Hosts assumed before the others are known, so that shares of limits stay small.
 UNKNOWN_HOSTS: Final = 8
@@ -21,6 +26,8 @@
 
     __slots__ = (
         "capacity_per_s",
+        "direct_sequence",
+        "fingerprint",
         "front",
         "heard_at",
         "host",
@@ -41,7 +48,9 @@
         self.peer = Address("0.0.0.0", 1)  # where hosts talk to each other
         self.capacity_per_s = 1.0  # requests that its link and processor carry
         self.incarnation = 0
-        self.sequence = 0
+        self.sequence = 0  # of the newest heartbeat known, also through others
+        self.direct_sequence = 0  # of the newest one that it sent here
+        self.fingerprint = fingerprint(host)
         self.ready = False
         self.heard_at = 0.0  # 0: not yet
         self.news: dict[str, int] = {}  # newest row that it knows, by table
@@ -54,12 +63,20 @@
 class Members:
     """All known hosts and this one."""
 
-    __slots__ = ("_by_region", "_others", "_rng", "listed", "own")
+    __slots__ = (
+        "_by_fingerprint",
+        "_by_region",
+        "_others",
+        "_rng",
+        "listed",
+        "own",
+    )
 
     def __init__(self, own: Member, rng: random.Random) -> None:
         self.own = own
         self._rng = rng
         self._others: dict[str, Member] = {}
+        self._by_fingerprint: dict[int, Member] = {}
         # The same hosts by region, since look-ups ask for those of one.
         self._by_region: dict[str, dict[str, Member]] = {}
         self.listed = False  # the list of hosts was read
@@ -74,22 +91,49 @@
         if heard.host == self.own.host:
             return False
         known = self._others.get(heard.host)
-        same_start = known is not None and known.incarnation == heard.incarnation
-        if known is not None and same_start and heard.sequence <= known.sequence:
-            return False
+        heard.direct_sequence = heard.sequence
+        if known is not None and known.incarnation == heard.incarnation:
+            if heard.sequence <= known.direct_sequence:
+                return False
+            if heard.sequence < known.sequence:
+                # Others have passed on a newer one.
+                heard.sequence, heard.ready = known.sequence, known.ready
         heard.heard_at = now
         self._put(heard)
         return True
 
+    def note_relayed(
+        self,
+        host_fingerprint: int,
+        incarnation: int,
+        sequence: int,
+        ready: bool,
+        now: float,
+    ) -> None:
+        """Take what another host passes on of a host that this one has heard.
+
+        `incarnation` is the low 32 bits of it.
+        """
+        known = self._by_fingerprint.get(host_fingerprint)
+        if known is None or not known.direct_sequence:
+            return
+        if known.incarnation & 0xFFFFFFFF != incarnation or sequence <= known.sequence:
+            return
+        known.sequence = sequence
+        known.ready = ready
+        known.heard_at = now
+
     def _put(self, member: Member) -> None:
         self._drop(member.host)
         self._others[member.host] = member
+        self._by_fingerprint[member.fingerprint] = member
         self._by_region.setdefault(member.region, {})[member.host] = member
 
     def _drop(self, host: str) -> None:
         known = self._others.pop(host, None)
         if known is not None:
             del self._by_region[known.region][host]
+            self._by_fingerprint.pop(known.fingerprint, None)
 
     def others(self) -> list[Member]:
         """Return all other hosts."""
@@ -98,11 +142,16 @@
     def is_live(self, host: str, now: float) -> bool:
         """Tell whether another host was heard lately."""
         item = self._others.get(host)
-        return item is not None and now - item.heard_at < LIVE_S
+        return item is not None and now - item.heard_at < self._live_s()
 
     def live(self, now: float) -> list[Member]:
         """Return the other hosts that were heard lately."""
-        return [item for item in self._others.values() if now - item.heard_at < LIVE_S]
+        since = now - self._live_s()
+        return [item for item in self._others.values() if item.heard_at > since]
+
+    def _live_s(self) -> float:
+        """Return the silence after which a host counts as lost, in seconds."""
+        return LIVE_S if len(self._others) < FULL_MESH else RELAYED_LIVE_S
 
     def count(self) -> int:
         """Return the number of hosts that may use shares of limits."""
@@ -141,7 +190,8 @@
     def _ready_in(self, region: str, now: float) -> list[Member]:
         """Return the hosts of a region that take callers, this one among them."""
         hosts = self._by_region.get(region, {}).values()
-        ready = [item for item in hosts if item.ready and now - item.heard_at < LIVE_S]
+        since = now - self._live_s()
+        ready = [item for item in hosts if item.ready and item.heard_at > since]
         if self.own.ready and self.own.region == region:
             ready.append(self.own)
         return ready
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -23,16 +23,19 @@
 from ..serverrequest import ServerRequest
 from ..suspects import Suspect
 from .follower import Follower
+from .gossip import Gossip, decode
 from .learned import Learned
 from .members import Member, Members
 from .replica import Row, Transfer
 
 HEARTBEAT_S: Final = 0.5
-# Heartbeats to hosts that have not answered are sent one time in this many.
-SILENT_PERIOD: Final = 4
 NOTIFY_DELAY_S: Final = 0.02
-# Time for which the store may still bring what a peer knows already.
-FETCH_DELAY_S: Final = 0.25
+# Time for which the store may still bring what a peer knows already: its rows come
+# after a pause (`follower.ENTRIES_PAUSE_S`). With that pause at the peer and its next
+# heartbeat, news of a leaving upstream comes within 2.1 s of the store's answer.
+FETCH_DELAY_S: Final = 0.6
+# The same at a host that the store does not answer.
+CUT_OFF_FETCH_DELAY_S: Final = 0.1
 FETCH_TIMEOUT_S: Final = 1.5
 ROWS_PATH: Final = "/rows"
 
@@ -53,6 +56,7 @@
     idle_rest_s: float  # for how long it lets connections to upstreams rest
     observed: bytes  # answers since its last heartbeat, see `observations`
     suspects: list[tuple[int, int]]  # fingerprint of a request and its crashes
+    relayed: bytes = b""  # what it knows of other hosts, see `gossip`
 
 
 class SentRow(msgspec.Struct, array_like=True):
@@ -102,8 +106,9 @@
         self._port: Any = None
         self._timer: Any = None
         self._notice: Any = None
-        self._round = 0
+        self._gossip = Gossip(members, rng)
         self._fetching: set[str] = set()  # tables
+        self._to_fetch: set[str] = set()  # tables, after a delay
         self._heard: set[str] = set()  # hosts that were live at the last round
 
     def start(self) -> None:
@@ -127,15 +132,10 @@
         """Greet further hosts, which tell of others."""
         self._seeds += [seed for seed in seeds if seed not in self._seeds]
 
-    def notify(self) -> None:
-        """Send a heartbeat soon, because something changed."""
-        if self._notice is None or not self._notice.active():
-            self._notice = self._reactor.callLater(NOTIFY_DELAY_S, self._send_all)
-
     def notify_all(self) -> None:
         """Send a heartbeat to all hosts soon, also to those not heard yet."""
-        self._round = 0
-        self.notify()
+        if self._notice is None or not self._notice.active():
+            self._notice = self._reactor.callLater(NOTIFY_DELAY_S, self._send_to_all)
 
     # Heartbeats.
 
@@ -143,13 +143,13 @@
         self._timer = self._reactor.callLater(
             HEARTBEAT_S * self._rng.uniform(0.9, 1.1), self._beat
         )
-        self._round += 1
-        self._send_all()
+        self._gossip.next_round()
         now = self._clock()
+        self._send(self._gossip.receivers(now), self._learned.take_observed())
+        if self._gossip.greets_silent:
+            self._greet_seeds()
         self._members.forget_silent(now)
         self._note_live(now)
-        for table in self._follower.replica.versions():
-            self._fetch_if_behind(table)
 
     def _note_live(self, now: float) -> None:
         live = {member.host for member in self._members.live(now)}
@@ -159,11 +159,29 @@
             logger.warning("peer silent", event="peer_lost", peer=host)
         self._heard = live
 
-    def _send_all(self) -> None:
+    def _send_to_all(self) -> None:
+        self._send(self._members.others(), b"")
+        self._greet_seeds()
+
+    def _greet_seeds(self) -> None:
+        """Send a heartbeat to the hosts of the settings that are not known yet."""
+        known = {member.peer for member in self._members.others()}
+        data = self._encode(b"")
+        for seed in self._seeds:
+            if seed not in known and seed != self._members.own.peer:
+                self._write(data, seed)
+
+    def _send(self, receivers: Iterable[Member], observed: bytes) -> None:
+        data = self._encode(observed)
+        for member in receivers:
+            self._write(data, member.peer)
+
+    def _encode(self, observed: bytes) -> bytes:
+        """Return the next heartbeat of this host."""
         own, now = self._members.own, self._clock()
         own.sequence += 1
         own.news = self._follower.replica.newest_all()
-        data = _encoder.encode(
+        return _encoder.encode(
             Heartbeat(
                 own.host,
                 own.zone,
@@ -176,22 +194,14 @@
                 own.news,
                 own.capacity_per_s,
                 self._learned.idle.allowed_s(True, now),
-                self._learned.take_observed(),
+                observed,
                 [
                     (item.fingerprint, item.crashes)
                     for item in self._learned.crashes.shared(now)
                 ],
+                self._gossip.relayed(now),
             )
         )
-        all_round = self._round % SILENT_PERIOD == 0
-        for member in self._members.others():
-            if all_round or self._members.is_live(member.host, now):
-                self._write(data, member.peer)
-        if all_round:
-            known = {member.peer for member in self._members.others()}
-            for seed in self._seeds:
-                if seed not in known and seed != own.peer:
-                    self._write(data, seed)
 
     def _write(self, data: bytes, address: Address) -> None:
         if self.transport is None:
@@ -236,14 +246,29 @@
             self._learned.merge(
                 heartbeat.idle_rest_s, heartbeat.observed, suspects, now
             )
+            for item in decode(heartbeat.relayed):
+                self._members.note_relayed(
+                    item.host_fingerprint,
+                    item.incarnation,
+                    item.sequence,
+                    item.ready,
+                    now,
+                )
             if not was_live:
-                self.notify()
-            for table, newest in self._follower.replica.newest_all().items():
-                if member.news.get(table, 0) > newest:
-                    self._reactor.callLater(FETCH_DELAY_S, self._fetch_if_behind, table)
+                self._send([member], b"")
+            self._fetch_newer(member)
 
     # Rows.
 
+    def _fetch_newer(self, member: Member) -> None:
+        """Fetch rows that a peer has, unless the store brings them soon."""
+        connected = self._follower.connected()
+        delay_s = FETCH_DELAY_S if connected else CUT_OFF_FETCH_DELAY_S
+        for table, newest in self._follower.replica.newest_all().items():
+            if member.news.get(table, 0) > newest and table not in self._to_fetch:
+                self._to_fetch.add(table)
+                self._reactor.callLater(delay_s, self._fetch_if_behind, table)
+
     def _newer_peer(self, table: str) -> Member | None:
         own = self._follower.replica.newest(table)
         newer = [
@@ -254,6 +279,7 @@
         return self._rng.choice(newer) if newer else None
 
     def _fetch_if_behind(self, table: str) -> None:
+        self._to_fetch.discard(table)
         member = self._newer_peer(table)
         if member is None or table in self._fetching:
             return
--- a/samphirebend/gateway/stop.py
+++ b/samphirebend/gateway/stop.py
@@ -49,7 +49,7 @@
         begun = self._reactor.seconds()
         logger.info("stop begun", event="stop_begun", in_flight=self._gateway.in_flight)
         self._members.own.ready = False
-        self._peers.notify()
+        self._peers.notify_all()
         # Callers that get an answer from now on connect anew, elsewhere.
         self._front.requests.draining = True
         ends_at = begun + self.grace_s - KILL_MARGIN_S
--- /dev/null
+++ b/tests/unit/gateway/test_peers.py
@@ -0,0 +1,127 @@
+"""Guards heartbeats against needless packets, and the fetching of rows from peers."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, cast
+
+import pytest
+from result import Err
+from twisted.internet.task import Clock
+
+from samphirebend.addresses import Address
+from samphirebend.gateway import peers
+from samphirebend.gateway.learned import Learned
+from samphirebend.gateway.members import Member, Members
+from samphirebend.gateway.peers import (
+    CUT_OFF_FETCH_DELAY_S,
+    FETCH_DELAY_S,
+    Heartbeat,
+    Peers,
+)
+from samphirebend.gateway.replica import Replica, Row
+
+from .scene import make_book
+
+HOSTS = 20
+
+
+class FollowerStandIn:
+    """What the peers use of the follower."""
+
+    def __init__(self) -> None:
+        self.replica = Replica(["op"])
+        self.up = True
+
+    def connected(self) -> bool:
+        return self.up
+
+
+class Transport:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, int]] = []
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        self.sent.append(address)
+
+
+class Scene:
+    """One host that knows some others, in simulated time."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.follower = FollowerStandIn()
+        self.asked: list[str] = []
+        self.transport = Transport()
+        own = Member("h0", "a1", "a")
+        self.members = Members(own, random.Random(1))
+        parts: list[Any] = [self.members, self.follower, Learned(make_book()), []]
+        seconds = self.clock.seconds
+        parts += [None, self.clock, seconds, random.Random(1)]
+        self.peers = cast(Any, Peers)(*parts)
+        self.peers.transport = self.transport
+        for number in range(1, HOSTS):
+            self.hear(number, 1, 0)
+        self.transport.sent.clear()
+
+        async def ask(pool: Any, reactor: Any, address: Address, *rest: Any) -> Any:
+            self.asked.append(str(address))
+            return Err(None)
+
+        monkeypatch.setattr(peers, "call", ask)
+
+    def hear(self, number: int, sequence: int, newest: int) -> None:
+        """Take a heartbeat of another host that knows rows up to a version."""
+        at = f"127.0.0.1:{1000 + number}"
+        beat = Heartbeat(
+            f"h{number}", "a1", "a", at, at, 1, sequence, True, {"op": newest}, 1.0,
+            9.0, b"", [],
+        )  # fmt: skip
+        self.peers.datagramReceived(peers._encoder.encode(beat), None)
+
+
+def test_a_new_host_is_answered_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards a start of all hosts against packets that grow as the cube of them."""
+    scene = Scene(monkeypatch)
+    scene.hear(HOSTS + 5, 1, 0)
+    scene.clock.advance(0.1)
+    assert scene.transport.sent == [("127.0.0.1", 1000 + HOSTS + 5)]
+
+
+def test_rows_are_not_fetched_if_the_store_brings_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the links between hosts: 2,395 needless fetches on one day."""
+    scene = Scene(monkeypatch)
+    scene.hear(1, 2, 5)
+    scene.clock.advance(FETCH_DELAY_S - 0.1)
+    row = Row("op", "config", b"v", 5)
+    scene.follower.replica.merge("op", [row], 5)
+    scene.clock.advance(1.0)
+    assert not scene.asked
+
+
+def test_rows_are_fetched_if_the_store_is_slow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    scene.hear(1, 2, 5)
+    scene.hear(2, 2, 5)
+    scene.clock.advance(FETCH_DELAY_S + 0.1)
+    assert len(scene.asked) == 1
+    scene.hear(1, 3, 5)
+    scene.clock.advance(FETCH_DELAY_S + 0.1)
+    assert len(scene.asked) == 2
+
+
+def test_a_host_cut_off_from_the_store_fetches_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scene = Scene(monkeypatch)
+    scene.follower.up = False
+    scene.hear(1, 2, 5)
+    scene.clock.advance(CUT_OFF_FETCH_DELAY_S + 0.01)
+    assert scene.asked == ["127.0.0.1:1001"]
