Blame an upstream for a late answer only if it had the time, and log replaced answers

Since failed tries are told to all hosts, impatient callers could make a sound upstream doubtful everywhere.

Change: an answer that did not come counts if twice the expected time had passed; try_failed is written for a replaced answer too. The test fails before.

--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -26,6 +26,9 @@
 SHED_RETRY_S: Final = 0.2
 # Tries without a connection that one request may make.
 MAX_UNREACHABLE: Final = 3
+# Times the expected time, from which on an answer that did not come in time is the
+# upstream's failure.
+OVERDUE_FACTOR: Final = 2.0
 SERVER_ERROR: Final = 500
 
 
@@ -46,6 +49,7 @@
         "_attempts",
         "_body",
         "_caller",
+        "_choice",
         "_deadline",
         "_gateway",
         "_last",
@@ -54,6 +58,7 @@
         "_out_of_budget",
         "_req",
         "_route",
+        "_sent_at",
         "_service",
         "_started",
         "_unreachable",
@@ -71,7 +76,9 @@
         self._object_fingerprint = 0
         self._out_of_budget = False  # the hosts' retries are used up
         self._body = RequestBody(req)
-        self._attempt: Attempt | None = None
+        self._attempt: Attempt | None = None  # the last try, with where it went
+        self._choice: Placed | None = None
+        self._sent_at = 0.0
         self._attempts = 0  # tries that reached an upstream
         self._unreachable = 0  # tries without a connection
         self._last: Attempt | None = None  # the last try that failed
@@ -198,10 +205,11 @@
             upstream,
             may_hold=route.idempotent,
         )
-        self._attempt = attempt
+        self._attempt, self._choice = attempt, choice
         now = gateway.reactor.seconds()
         max_idle_s = gateway.learned.idle.allowed_s(route.idempotent, now)
         number = gateway.next_number()
+        self._sent_at = now
         # Counted while the connection is opened, so that others go elsewhere.
         upstream.note_sent(number, now)
         try:
@@ -286,6 +294,7 @@
             if route.idempotent and attempt.end_kind is AttemptEnd.ANSWERED:
                 self._last = attempt
                 if self._may_try_again(route):
+                    self._log_try(attempt, choice, elapsed_s)
                     return
         else:
             if self._gateway.learned.crashes:
@@ -377,8 +386,7 @@
         if attempt is not None:
             if attempt.streaming:
                 return  # the answer arrives already
-            now = self._gateway.reactor.seconds()
-            self._gateway.learned.note_failure(attempt.upstream, now)
+            self._note_late(attempt)
         if sent:
             self._fail(ErrorKind.UPSTREAM_TIMEOUT)
         else:
@@ -386,6 +394,13 @@
         if attempt is not None:
             attempt.cancel()
 
+    def _note_late(self, attempt: Attempt) -> None:
+        """Take an answer that did not come for a failure, if it had the time."""
+        now = self._gateway.reactor.seconds()
+        expected_s = self._choice.cost_s if self._choice is not None else 0.0
+        if now - self._sent_at >= OVERDUE_FACTOR * expected_s:
+            self._gateway.learned.note_failure(attempt.upstream, now)
+
     def _note_caller_gone(self) -> None:
         attempt, route = self._attempt, self._route
         if attempt is None or self._req.finished:
--- a/tests/unit/gateway/test_histories.py
+++ b/tests/unit/gateway/test_histories.py
@@ -249,3 +249,22 @@
         statuses.append(transport.value().split(b" ")[1])
     assert statuses == [b"502", b"502", b"502", b"503", b"503"]
     assert len(pool.sent) == 3
+
+
+@pytest.mark.parametrize(
+    ("time_left_ms", "doubts"), [(300, False), (int(TIME_LEFT_S * 1000), True)]
+)
+def test_a_short_deadline_is_not_taken_for_a_failure_of_the_upstream(
+    time_left_ms: int, doubts: bool
+) -> None:
+    """Guards upstreams against callers that give them less time than work takes."""
+    clock = Clock()
+    gateway = make_gateway(RequestKind.NON_IDEMPOTENT, Pool(("silent",), clock), clock)
+    conn = HttpServerProtocol(HttpServer(partial(handle, gateway)))
+    conn.callLater = clock.callLater
+    transport = Transport()
+    conn.makeConnection(transport)
+    conn.dataReceived(REQUEST.replace(b"2000", str(time_left_ms).encode()))
+    clock.advance(time_left_ms / 1000)
+    assert transport.value().startswith(b"HTTP/1.1 504 ")
+    assert any(upstream.faulty for upstream in gateway.view.book.all()) is doubts
