Use no more than a host's share of an upstream's connections

Cause: a service's bound of connections was decoded and not kept; the hosts of a large fleet can exceed it together, and the upstream resets what is above it.

Change: a host sends at most the bound over the number of hosts to one upstream at a time, and at least one.

--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Final
 
@@ -125,7 +126,7 @@
             request.route.home_regions,
             near_first=request.route.kind is RequestKind.UPLOAD,
         )
-        candidates = self._candidates(ranked, request.tried, norm, now)
+        candidates = self._candidates(ranked, request, norm, now)
         if candidates.first is None:
             return self._refuse("no-upstream", MIN_RETRY_AFTER_S)
         trial = self._trial(candidates.first, request, norm, now)
@@ -144,7 +145,7 @@
         return self._refuse("upstreams-full", shortest_s)
 
     def _candidates(
-        self, ranked: list[Upstream], tried: set[str], norm: ServiceNorm, now: float
+        self, ranked: list[Upstream], request: Request, norm: ServiceNorm, now: float
     ) -> Candidates:
         """Return the first upstreams of an object that may be trusted.
 
@@ -153,10 +154,11 @@
         needed, since services have up to thousands of upstreams.
         """
         found = Candidates()
+        most_in_flight = self._connection_share(request.service)
         doubtful: list[Upstream] = []
         cold: list[Upstream] = []
         for item in ranked:
-            if item.name in tried:
+            if item.name in request.tried or item.in_flight >= most_in_flight:
                 continue
             if item.is_cold(now):
                 cold.append(item)
@@ -184,6 +186,17 @@
                 if len(found.settled) > SPREAD:
                     return
 
+    def _connection_share(self, service: str) -> float:
+        """Return how many connections this host may use at one upstream.
+
+        Upstreams reset those above a bound that all hosts share. Every host may use
+        one, which keeps the bound while there are no more hosts than connections.
+        """
+        policy = self._policies.get(service)
+        if policy is None or not policy.max_connections:
+            return math.inf
+        return max(1, policy.max_connections // self._members.count())
+
     def _warm_of(self, cold: list[Upstream], now: float) -> list[Upstream]:
         return [item for item in cold if self._warm_enough(item, now)]
 
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from samphirebend.gateway.config import RequestKind
+from samphirebend.gateway.config import RequestKind, ServicePolicy
 from samphirebend.gateway.observations import fingerprint
 from samphirebend.gateway.placement import Placed, Refused
 from samphirebend.gateway.ranking import rank
@@ -234,3 +234,20 @@
     placement = make_placement(book)
     route = make_route(RequestKind.NON_IDEMPOTENT)
     assert isinstance(placement.choose(make_request("1", route), 1.0), Placed)
+
+
+def test_connections_to_an_upstream_stay_within_the_share_of_the_host() -> None:
+    """Guards upstreams against connections of all hosts above their bound."""
+    book = make_book(1, slots=200)
+    placement = make_placement(book, hosts=7)
+    policy = ServicePolicy("s")
+    policy.max_connections = 30
+    placement.apply({"s": policy})
+    (upstream,) = book.all()
+    for number in range(30 // 7):
+        assert isinstance(placement.choose(make_request(), 0.0), Placed)
+        upstream.note_sent(number, 0.0)
+    refused = placement.choose(make_request(), 0.0)
+    assert isinstance(refused, Refused)
+    upstream.note_end(0)
+    assert isinstance(placement.choose(make_request(), 0.0), Placed)
