Hear up to 100 hosts directly

Cause: where heartbeats are passed on, a lost host is named to callers for 4 s and more instead of 1.6 s, and fleets of 48 to 100 hosts can pay for the shorter time: 200 heartbeats sent and 200 taken a second.

--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -12,7 +12,7 @@
 
 LIVE_S: Final = 1.6  # silence after which callers are sent elsewhere
 # Number of hosts below which each one hears all others itself.
-FULL_MESH: Final = 48
+FULL_MESH: Final = 100
 # The silence where others pass on most of what is heard.
 RELAYED_LIVE_S: Final = 4.0
 FORGET_S: Final = 60.0
