--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,9 +29,10 @@
 
 
 def own_ip(index: int = 0) -> str:
-    """Return one of 60 loopback addresses that no other test process uses."""
-    pid = os.getpid()
-    return f"127.{64 + (pid >> 10) % 64}.{pid >> 2 & 255}.{(pid & 3) * 64 + index + 1}"
+    """Return one of 180 loopback addresses that no other test process uses."""
+    pid, (block, low) = os.getpid(), divmod(index, 60)
+    second = 64 * (block + 1) + (pid >> 10) % 64
+    return f"127.{second}.{pid >> 2 & 255}.{(pid & 3) * 64 + low + 1}"
 
 
 def free_port(ip: str) -> int:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from .picture import draw
 from .run import Verdict, run_soak
+from .schedule import HOSTS
 from .seeds import REGRESSIONS
 from .world import CALLERS
 
@@ -26,6 +27,7 @@
     runs: Annotated[int, typer.Option(help="Runs at most; 0: no bound.")] = 0,
     seconds: Annotated[float, typer.Option(help="Length of one run.")] = SECONDS,
     callers: Annotated[int, typer.Option(help="Callers of a run.")] = CALLERS,
+    hosts: Annotated[int, typer.Option(help="Gateway processes of a run.")] = HOSTS,
     folder: Annotated[Path, typer.Option(help="Where reports go.")] = Path("build"),
     regressions: Annotated[bool, typer.Option(help="Run the kept seeds.")] = False,
 ) -> None:
@@ -38,8 +40,9 @@
         if not regressions and done and (time.monotonic() >= until or done == runs):
             break
         number = seeds.pop(0) if regressions else first + done
-        verdict, records = run_soak(number, seconds, folder / f"soak-{number}", callers)
-        draw(records, folder / f"soak-{number}" / "outcomes.png")
+        reports = folder / f"soak-{number}"
+        verdict, records = run_soak(number, seconds, reports, callers, hosts)
+        draw(records, reports / "outcomes.png")
         _print(verdict)
         done += 1
         if not verdict.passed:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,7 @@
 from .checks import check_all
 from .faults import run_schedule
 from .records import Records
-from .schedule import make_schedule
+from .schedule import HOSTS, make_schedule
 from .world import CALLERS, World
 
 
@@ -31,12 +31,16 @@
 
 
 def run_soak(
-    seed: int, seconds: float, folder: Path, callers: int = CALLERS
+    seed: int,
+    seconds: float,
+    folder: Path,
+    callers: int = CALLERS,
+    hosts: int = HOSTS,
 ) -> tuple[Verdict, Records]:
     """Run the programs under faults for some seconds; return what was seen."""
     folder.mkdir(parents=True, exist_ok=True)
-    schedule = make_schedule(seed, seconds)
-    with World(folder, seed, callers) as world:
+    schedule = make_schedule(seed, seconds, hosts)
+    with World(folder, seed, callers, hosts) as world:
         world.start_load()
         begun = time.monotonic()
         run_schedule(world, schedule)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -104,7 +104,7 @@
 WEAKNESSES: Final = ("slow", "failing", "lost")
 
 
-def make_schedule(seed: int, seconds: float) -> list[Fault]:
+def make_schedule(seed: int, seconds: float, hosts: int = HOSTS) -> list[Fault]:
     """Return the faults of a run, in order; some overlap."""
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -114,11 +114,11 @@
         for_s = rng.uniform(0.5, 4.0)
         if at_s + for_s > seconds - QUIET_END_S:
             return faults
-        faults.append(_draw(rng, round(at_s, 3), round(for_s, 3)))
+        faults.append(_draw(rng, round(at_s, 3), round(for_s, 3), hosts))
 
 
-def _draw(rng: random.Random, at_s: float, for_s: float) -> Fault:
-    host, upstream = rng.randrange(HOSTS), rng.randrange(UPSTREAMS)
+def _draw(rng: random.Random, at_s: float, for_s: float, hosts: int) -> Fault:
+    host, upstream = rng.randrange(hosts), rng.randrange(UPSTREAMS)
     store_cut, upstream_cut = rng.choice(STORE_CUTS), rng.choice(UPSTREAM_CUTS)
     makers = (
         lambda: KillHost(at_s, for_s, host),
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -25,6 +25,7 @@
 COLD_S: Final = 1.0
 CALLERS: Final = 24
 START_S: Final = 20.0
+EACH_START_S: Final = 0.5  # more for each host, since they start together
 STOP_S: Final = 9.0
 CONFIGS_KEPT: Final = 60  # routes of former versions that a configuration keeps
 
@@ -32,7 +33,9 @@
 class World:
     """The running parts and what happened to them; a context manager."""
 
-    def __init__(self, folder: Path, seed: int, callers: int = CALLERS) -> None:
+    def __init__(
+        self, folder: Path, seed: int, callers: int = CALLERS, hosts: int = HOSTS
+    ) -> None:
         self.folder = folder
         self.records = Records()
         self.group = ProcessGroup(folder)
@@ -43,7 +46,7 @@
         self._starter = ThreadPoolExecutor(max_workers=1)
         self._lock = threading.Lock()
         self.upstreams = [self._make_upstream(index) for index in range(UPSTREAMS)]
-        self.proxy = self._start_proxy()
+        self.proxy = self._start_proxy(hosts)
         ports = self.proxy.first_line()["ports"]
         for upstream in self.upstreams:
             port = ports[f"upstream-{upstream.own_address}"]
@@ -59,7 +62,7 @@
                 folder,
                 f"host-{index}",
             )
-            for index in range(HOSTS)
+            for index in range(hosts)
         ]
         self.control(
             "origins", {h.ip: {"name": h.name, "region": ""} for h in self.hosts}
@@ -87,14 +90,14 @@
         made.born_ms = int(time.time() * 1000)
         return made
 
-    def _start_proxy(self) -> Child:
+    def _start_proxy(self, hosts: int) -> Child:
         listeners = [
             {"name": f"upstream-{item.own_address}", "target": item.own_address}
             for item in self.upstreams
         ]
         listeners += [
             {"name": f"store-{index}", "target": self.store.address}
-            for index in range(HOSTS)
+            for index in range(hosts)
         ]
         path = self.group.write_json("proxy", {"listeners": listeners})
         return self.group.spawn(
@@ -111,8 +114,9 @@
 
     def start_load(self) -> None:
         """Wait until all hosts are ready, then let the callers begin."""
+        start_s = START_S + EACH_START_S * len(self.hosts)
         for host in self.hosts:
-            eventually(host.is_ready, START_S, f"{host.name} ready")
+            eventually(host.is_ready, start_s, f"{host.name} ready")
         for caller in self.callers:
             caller.start()
         self.prober.start()
