--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -405,7 +405,18 @@
             return
         # Work that may not be repeated is let finish: its outcome counts.
         finishes = attempt.sent and not (self._body.streamed and not self._body.ended)
-        if route is None or route.idempotent or not finishes:
+        cancels = route is None or route.idempotent or not finishes
+        self._gateway.metrics.count_caller_lost(self._service)
+        logger.info(
+            "caller lost before its answer",
+            event="caller_lost",
+            request_id=self._caller.request_id,
+            service=self._service,
+            upstream=attempt.upstream.name,
+            cancelled=cancels,
+            elapsed_ms=round((self._gateway.reactor.seconds() - self._started) * 1000),
+        )
+        if cancels:
             attempt.cancel()
 
     def _refuse(self, kind: ErrorKind, retry_after_s: float, reason: str) -> None:
--- a/samphirebend/gateway/logbudget.py
+++ b/samphirebend/gateway/logbudget.py
@@ -15,7 +15,12 @@
     from loguru import Record
 
 # Lines a second of each event; others share the last entry.
-LINES_PER_S: Final = {"answered": 10, "try_failed": 40, "request_failed": 80}
+LINES_PER_S: Final = {
+    "answered": 10,
+    "caller_lost": 20,
+    "try_failed": 40,
+    "request_failed": 80,
+}
 OTHER_LINES_PER_S: Final = 150
 UNREAD: Final = "unread"  # counts lines that the output did not take
 MAX_UNSENT_BYTES: Final = 256 * 1024
--- a/samphirebend/metrics.py
+++ b/samphirebend/metrics.py
@@ -179,6 +179,11 @@
         self._refusals = self._counter(
             "refusals_total", "Error answers to callers, by error kind.", "kind"
         )
+        self._callers_lost = self._counter(
+            "callers_lost_total",
+            "Callers whose connection ended while their request was in work.",
+            "service",
+        )
         self._region_free = self._gauge(
             "region_free_ratio", "Free share of the region's cap, 0 to 1.", "region"
         )
@@ -296,6 +301,10 @@
         """Count one error answer to a caller."""
         self._refusals.add((kind._value_,))
 
+    def count_caller_lost(self, service: str) -> None:
+        """Count a caller whose connection ended before its answer."""
+        self._callers_lost.add((service,))
+
     def set_table_calls(self, counts: Mapping[str, int]) -> None:
         """Take over the calls to the table service since the start, by outcome."""
         for outcome, count in counts.items():
--- a/tests/unit/gateway/test_histories.py
+++ b/tests/unit/gateway/test_histories.py
@@ -291,3 +291,20 @@
     book = gateway.view.book
     (upstream,) = [item for item in book.all() if item.faulty]
     assert upstream.health(book.norm("s", 0.2), 0.2) is health
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_callers_that_leave_are_counted(leaves: bool) -> None:
+    """Guards on-call engineers against lost callers that show nowhere."""
+    clock = Clock()
+    pool = Pool(("answered",), clock)
+    gateway = make_gateway(RequestKind.IDEMPOTENT, pool, clock)
+    conn = HttpServerProtocol(HttpServer(partial(handle, gateway)))
+    conn.callLater = clock.callLater
+    conn.makeConnection(Transport())
+    conn.dataReceived(REQUESTS[RequestKind.IDEMPOTENT])
+    if leaves:
+        conn.connectionLost(Failure(ConnectionLost()))
+    pool.play()
+    shown = b'callers_lost_total{service="s"} 1' in gateway.metrics.render()[0]
+    assert shown is leaves
--- a/tests/unit/test_metrics.py
+++ b/tests/unit/test_metrics.py
@@ -26,6 +26,7 @@
     metrics.count_request("ledger", Outcome.DID_NOT_RUN, 400.0)
     metrics.count_retry("ledger")
     metrics.count_refusal(ErrorKind.CAP_REACHED)
+    metrics.count_caller_lost("ledger")
     metrics.set_table_calls({"conflicts": 1})
     metrics.observe_drain("host", 1.5)
     metrics.set_region_free("norra", 0.25)
@@ -48,6 +49,7 @@
         'request_duration_seconds_sum{service="ledger"} 400.002',
         'retries_total{service="ledger"} 1',
         'refusals_total{kind="CAP_REACHED"} 1',
+        'callers_lost_total{service="ledger"} 1',
         'table_calls_total{outcome="conflicts"} 1',
         'drain_duration_seconds_bucket{le="2.0",subject="host"} 1.0',
         'region_free_ratio{region="norra"} 0.25',
