--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -5,7 +5,6 @@
 from typing import Any, Final
 
 import xxhash
-from loguru import logger
 from twisted.internet.defer import Deferred
 
 from ..errorcodes import ANSWERS, ErrorKind, Outcome, outcome_after
@@ -18,6 +17,7 @@
 from .config import Route
 from .dialect import CallerFacts
 from .placement import Placed, Refused, Request
+from .requestlog import RequestLog
 from .shared import Gateway
 from .upstreams import Upstream
 
@@ -54,6 +54,7 @@
         "_gateway",
         "_last",
         "_life",
+        "_log",
         "_object_fingerprint",
         "_out_of_budget",
         "_req",
@@ -69,6 +70,7 @@
         self._req = req
         self._started: float = gateway.reactor.seconds()
         self._caller: CallerFacts = gateway.dialect.read_caller(req)
+        self._log = RequestLog(self._caller.request_id)
         self._life = make_request_life()
         self._route: Route | None = None
         self._service = ""
@@ -102,11 +104,7 @@
 
     def note_bug(self, failure: Any) -> None:
         """Answer after an unexpected error of this program."""
-        logger.opt(exception=failure.value).error(
-            "request failed unexpectedly",
-            event="bug",
-            request_id=self._caller.request_id,
-        )
+        self._log.note_bug(failure)
         if self._req.answered:
             self._req.abort()
         else:
@@ -140,6 +138,7 @@
             self._fail(ErrorKind.BODY_TOO_LARGE)
             return False
         self._service = gateway.view.picker.pick(route)
+        self._log.service = self._service
         gateway.budget.note_request(self._service, self._started)
         limit_s = route.timeout_s
         if self._caller.time_left_s is not None:
@@ -264,7 +263,7 @@
         elif attempt.sent:
             self._life.lose()
         if end is not AttemptEnd.CANCELLED:
-            self._log_try(attempt, choice, elapsed_s)
+            self._log.note_failed_try(attempt, choice, elapsed_s)
 
     def _note_lost(self, attempt: Attempt, elapsed_s: float, now: float) -> None:
         """Learn from a connection that ended without an answer."""
@@ -292,7 +291,7 @@
             if route.idempotent and attempt.end_kind is AttemptEnd.ANSWERED:
                 self._last = attempt
                 if self._may_try_again(route):
-                    self._log_try(attempt, choice, elapsed_s)
+                    self._log.note_failed_try(attempt, choice, elapsed_s)
                     return
         else:
             if self._gateway.learned.crashes:
@@ -341,19 +340,14 @@
         metrics = self._gateway.metrics
         metrics.count_request(self._service, Outcome.DONE, elapsed_s)
         if head.status >= SERVER_ERROR or self._gateway.samples_success():
-            logger.info(
-                "request answered",
-                event="answered",
-                request_id=self._caller.request_id,
-                service=self._service,
-                upstream=attempt.upstream.name,
-                status=head.status,
-                object=self._object_key(),
-                rank=choice.rank if choice is not None else None,
-                expected_wait_ms=round(choice.wait_s * 1000) if choice else None,
-                attempts=self._attempts,
-                upstream_ms=round(tried_s * 1000),
-                elapsed_ms=round(elapsed_s * 1000),
+            self._log.note_answer(
+                attempt,
+                choice,
+                head.status,
+                self._object_key(),
+                self._attempts,
+                tried_s,
+                elapsed_s,
             )
 
     def _give_up(self, refused: Refused) -> None:
@@ -407,15 +401,7 @@
         finishes = attempt.sent and not (self._body.streamed and not self._body.ended)
         cancels = route is None or route.idempotent or not finishes
         self._gateway.metrics.count_caller_lost(self._service)
-        logger.info(
-            "caller lost before its answer",
-            event="caller_lost",
-            request_id=self._caller.request_id,
-            service=self._service,
-            upstream=attempt.upstream.name,
-            cancelled=cancels,
-            elapsed_ms=round((self._gateway.reactor.seconds() - self._started) * 1000),
-        )
+        self._log.note_caller_lost(attempt, cancels, self._elapsed_s())
         if cancels:
             attempt.cancel()
 
@@ -429,7 +415,7 @@
             (b"Request-Outcome", Outcome.DID_NOT_RUN.value.encode()),
             (b"Retry-After", f"{retry_after_s:.2f}".encode()),
         ]
-        self._log_failure(kind, Outcome.DID_NOT_RUN, reason, retry_after_s)
+        self._note_failure(kind, Outcome.DID_NOT_RUN, reason, retry_after_s)
         self._req.respond(503, headers, ANSWERS[kind].text.encode())
 
     def _fail(self, kind: ErrorKind) -> None:
@@ -443,49 +429,31 @@
             (b"Error-Kind", kind.value.encode()),
             (b"Request-Outcome", outcome.value.encode()),
         ]
-        self._log_failure(kind, outcome, kind.value, None)
+        self._note_failure(kind, outcome, kind.value, None)
         self._req.respond(ANSWERS[kind].status, headers, ANSWERS[kind].text.encode())
 
-    # Logs.
-
-    def _log_try(self, attempt: Attempt, choice: Placed, elapsed_s: float) -> None:
-        end, head = attempt.end_kind, attempt.head_seen
-        logger.info(
-            "try failed",
-            event="try_failed",
-            request_id=self._caller.request_id,
-            service=self._service,
-            upstream=attempt.upstream.name,
-            rank=choice.rank,
-            end=end.value if end is not None else "",
-            error=attempt.error.value if attempt.error is not None else "",
-            status=head.status if head is not None else 0,
-            elapsed_ms=round(elapsed_s * 1000),
-        )
-
-    def _log_failure(
+    def _note_failure(
         self,
         kind: ErrorKind,
         outcome: Outcome,
         reason: str,
         retry_after_s: float | None,
     ) -> None:
-        gateway = self._gateway
+        gateway, attempt = self._gateway, self._attempt
         config = gateway.view.config
-        attempt = self._attempt
-        logger.info(
-            "request not answered by an upstream",
-            event="request_failed",
-            request_id=self._caller.request_id,
+        self._log.note_failure(
+            kind,
+            outcome,
+            reason,
             route=self._route.name if self._route is not None else "",
-            service=self._service,
-            kind=kind.value,
-            outcome=outcome.value,
-            reason=reason,
-            attempts=self._attempts,
             upstream=attempt.upstream.name if attempt is not None else "",
+            attempts=self._attempts,
             retry_after_s=retry_after_s,
-            elapsed_ms=round((gateway.reactor.seconds() - self._started) * 1000),
+            elapsed_s=self._elapsed_s(),
             upstreams=len(gateway.view.book.usable(self._service)),
             config_version=config.version if config is not None else 0,
         )
+
+    def _elapsed_s(self) -> float:
+        elapsed_s: float = self._gateway.reactor.seconds() - self._started
+        return elapsed_s
--- /dev/null
+++ b/samphirebend/gateway/requestlog.py
@@ -0,0 +1,117 @@
+"""Log lines about one request, from which its failure is explained afterwards."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from loguru import logger
+
+from ..errorcodes import ErrorKind, Outcome
+from .attempt import Attempt
+from .placement import Placed
+
+
+class RequestLog:
+    """Writes the lines of one request; docs/OPERATIONS.md explains them."""
+
+    __slots__ = ("_request_id", "service")
+
+    def __init__(self, request_id: str) -> None:
+        self._request_id = request_id
+        self.service = ""  # known once the route is found
+
+    def note_answer(
+        self,
+        attempt: Attempt,
+        choice: Placed | None,
+        status: int,
+        object_key: str,
+        attempts: int,
+        tried_s: float,
+        elapsed_s: float,
+    ) -> None:
+        """Log an upstream's answer."""
+        logger.info(
+            "request answered",
+            event="answered",
+            request_id=self._request_id,
+            service=self.service,
+            upstream=attempt.upstream.name,
+            status=status,
+            object=object_key,
+            rank=choice.rank if choice is not None else None,
+            expected_wait_ms=round(choice.wait_s * 1000) if choice else None,
+            attempts=attempts,
+            upstream_ms=round(tried_s * 1000),
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+
+    def note_failed_try(
+        self, attempt: Attempt, choice: Placed, elapsed_s: float
+    ) -> None:
+        """Log a try that brought no answer, or one that another try replaces."""
+        end, head = attempt.end_kind, attempt.head_seen
+        logger.info(
+            "try failed",
+            event="try_failed",
+            request_id=self._request_id,
+            service=self.service,
+            upstream=attempt.upstream.name,
+            rank=choice.rank,
+            end=end.value if end is not None else "",
+            error=attempt.error.value if attempt.error is not None else "",
+            status=head.status if head is not None else 0,
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+
+    def note_failure(
+        self,
+        kind: ErrorKind,
+        outcome: Outcome,
+        reason: str,
+        *,
+        route: str,
+        upstream: str,
+        attempts: int,
+        retry_after_s: float | None,
+        elapsed_s: float,
+        upstreams: int,
+        config_version: int,
+    ) -> None:
+        """Log an answer of the host in the place of an upstream's."""
+        logger.info(
+            "request not answered by an upstream",
+            event="request_failed",
+            request_id=self._request_id,
+            route=route,
+            service=self.service,
+            kind=kind.value,
+            outcome=outcome.value,
+            reason=reason,
+            attempts=attempts,
+            upstream=upstream,
+            retry_after_s=retry_after_s,
+            elapsed_ms=round(elapsed_s * 1000),
+            upstreams=upstreams,
+            config_version=config_version,
+        )
+
+    def note_caller_lost(
+        self, attempt: Attempt, cancelled: bool, elapsed_s: float
+    ) -> None:
+        """Log that the caller's connection ended while the request was in work."""
+        logger.info(
+            "caller lost before its answer",
+            event="caller_lost",
+            request_id=self._request_id,
+            service=self.service,
+            upstream=attempt.upstream.name,
+            cancelled=cancelled,
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+
+    def note_bug(self, failure: Any) -> None:
+        """Log an unexpected error of this program."""
+        logger.opt(exception=failure.value).error(
+            "request failed unexpectedly", event="bug", request_id=self._request_id
+        )
