--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -9,6 +9,7 @@
 from functools import partial
 
 from samphirebend.addresses import Address
+from samphirebend.gateway.book import UpstreamBook
 from samphirebend.gateway.budgets import ColdLimit
 from samphirebend.gateway.config import (
     RequestKind,
@@ -22,7 +23,7 @@
 from samphirebend.gateway.placement import Placement, Request
 from samphirebend.gateway.ranking import rank
 from samphirebend.gateway.replica import Replica, Row
-from samphirebend.gateway.upstreams import Upstream, UpstreamBook
+from samphirebend.gateway.upstreams import Upstream
 
 REPEATS = 5
 OBSERVED = 13  # answers that a host tells with a heartbeat, at 26 requests a second
--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -16,6 +16,7 @@
 from ..httpclient import ConnectionPool
 from ..kernel import Kernel
 from ..metrics import Metrics
+from .book import UpstreamBook
 from .budgets import ColdLimit, RetryBudget
 from .dialect import Dialect
 from .follower import Follower, Tables
@@ -31,7 +32,6 @@
 from .settings import GatewaySettings, differences
 from .shared import Gateway
 from .stop import Stop
-from .upstreams import UpstreamBook
 from .view import View
 
 CONNECT_TIMEOUT_S: Final = 0.35
--- a/samphirebend/gateway/learned.py
+++ b/samphirebend/gateway/learned.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 
 from ..suspects import Suspect
+from .book import UpstreamBook
 from .crashes import CrashWatch
 from .idle import IdleLimit
 from .observations import Observation, Observations, decode
-from .upstreams import Upstream, UpstreamBook
+from .upstreams import Upstream
 
 
 class Learned:
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -14,18 +14,13 @@
 import random
 from typing import Final
 
+from .book import UpstreamBook
 from .budgets import ColdLimit
 from .config import RequestKind, Route, ServicePolicy
 from .members import Members
 from .observations import fingerprint
 from .ranking import Rankings
-from .upstreams import (
-    TRIAL_INTERVAL_S,
-    Health,
-    ServiceNorm,
-    Upstream,
-    UpstreamBook,
-)
+from .upstreams import TRIAL_INTERVAL_S, Health, ServiceNorm, Upstream
 
 SPREAD: Final = 2  # upstreams of one object
 # Part of the objective for which a request may always wait in a queue.
--- a/samphirebend/gateway/ranking.py
+++ b/samphirebend/gateway/ranking.py
@@ -14,7 +14,8 @@
 
 import xxhash
 
-from .upstreams import Upstream, UpstreamBook
+from .book import UpstreamBook
+from .upstreams import Upstream
 
 MAX_CACHED: Final = 5000
 
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from enum import Enum, unique
 from typing import Final
 
@@ -26,10 +25,6 @@
 TRIAL_INTERVAL_S: Final = 1.0
 # Age up to which a good answer to this host outweighs what failed at others.
 OWN_ANSWER_FRESH_S: Final = 1.0
-NORM_INTERVAL_S: Final = 0.1
-NORM_SAMPLE: Final = 100  # upstreams whose median stands for all
-# Time after the first request of a service by when most objects were handled once.
-SETTLE_S: Final = 4.0
 # Objects remembered as handled by one upstream.
 MAX_WARM_OBJECTS: Final = 64
 
@@ -284,134 +279,3 @@
 def _average(old: float, sample: float) -> float:
     """Return a moving average that begins with its first sample."""
     return sample if not old else old + AVERAGE_WEIGHT * (sample - old)
-
-
-def _median(values: list[float]) -> float:
-    """Return the lower median, 0 if there are no values."""
-    return sorted(values)[(len(values) - 1) // 2] if values else 0.0
-
-
-class UpstreamBook:
-    """All known upstreams, by service and by id."""
-
-    __slots__ = (
-        "_all",
-        "_begun",
-        "_by_fingerprint",
-        "_by_service",
-        "_norms",
-        "_regions",
-        "evacuated",
-        "generation",
-    )
-
-    def __init__(self, regions: dict[str, str]) -> None:
-        self._regions = regions  # failure domain to region
-        self._all: dict[str, Upstream] = {}
-        self._by_fingerprint: dict[int, Upstream] = {}
-        self._by_service: dict[str, list[Upstream]] = {}
-        self._norms: dict[str, ServiceNorm] = {}
-        self._begun: dict[str, float] = {}  # first request of each service
-        self.evacuated: set[str] = set()  # failure domains that get nothing
-        self.generation = 0  # changes with the set of usable upstreams
-
-    def add_regions(self, regions: dict[str, str]) -> None:
-        """Take the regions of further failure domains."""
-        self._regions = {**self._regions, **regions}
-
-    def get(self, name: str) -> Upstream | None:
-        """Return an upstream by its id, or None."""
-        return self._all.get(name)
-
-    def get_by_fingerprint(self, upstream_fingerprint: int) -> Upstream | None:
-        """Return an upstream by the fingerprint of its id, or None."""
-        return self._by_fingerprint.get(upstream_fingerprint)
-
-    def all(self) -> Iterable[Upstream]:
-        """Return all upstreams."""
-        return self._all.values()
-
-    def put(self, entry: UpstreamEntry, cold_s: float, now: float) -> None:
-        """Take an entry; `cold_s` is how long a start of its service is cold."""
-        self.generation += 1
-        known = self._all.get(entry.upstream)
-        if known is not None and known.entry.born_ms == entry.born_ms:
-            known.entry = entry
-            known.gone_at = None
-            if entry.cold_left_s > 0:
-                known.cold_until = now + max(entry.cold_left_s, cold_s)
-        else:
-            known = Upstream(entry, self._regions.get(entry.zone, ""))
-            if entry.cold_left_s > 0:
-                known.cold_until = now + max(entry.cold_left_s, cold_s)
-            self._all[entry.upstream] = known
-            self._by_fingerprint[known.fingerprint] = known
-        self._index()
-
-    def remove(self, name: str, now: float) -> None:
-        """Note that an entry is gone."""
-        upstream = self._all.get(name)
-        if upstream is not None and upstream.gone_at is None:
-            upstream.gone_at = now
-            self.generation += 1
-            self._index()
-
-    def evacuate(self, zone: str, active: bool, cold_s: float, now: float) -> None:
-        """Note that a failure domain is evacuated or taken back."""
-        self.generation += 1
-        if active:
-            self.evacuated.add(zone)
-        elif zone in self.evacuated:
-            self.evacuated.discard(zone)
-            for upstream in self._all.values():
-                if upstream.entry.zone == zone:
-                    upstream.cold_until = max(upstream.cold_until, now + cold_s)
-                    upstream.forget_objects()
-        self._index()
-
-    def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that may get new requests."""
-        return self._by_service.get(service, [])
-
-    def forget_gone(self, before: float) -> list[str]:
-        """Drop upstreams that were gone before a time; return their ids."""
-        old = [
-            name
-            for name, item in self._all.items()
-            if item.gone_at is not None and item.gone_at < before and not item.in_flight
-        ]
-        for name in old:
-            self._by_fingerprint.pop(self._all.pop(name).fingerprint, None)
-        return old
-
-    def note_request(self, service: str, now: float) -> None:
-        """Note that requests for a service come."""
-        self._begun.setdefault(service, now)
-
-    def norm(self, service: str, now: float) -> ServiceNorm:
-        """Return what is usual among the service's upstreams."""
-        norm = self._norms.get(service)
-        if norm is None or now - norm.made_at > NORM_INTERVAL_S:
-            usable = self.usable(service)
-            usable = usable[:: len(usable) // NORM_SAMPLE + 1]
-            norm = ServiceNorm(
-                _median([item.warm_s for item in usable if item.warm_s]),
-                _median([item.mean_s for item in usable if item.mean_s]),
-                _median([item.faulty for item in usable]),
-                _median([item.told_faulty for item in usable]),
-                now,
-            )
-            norm.settled = now - self._begun.get(service, now) >= SETTLE_S
-            self._norms[service] = norm
-        return norm
-
-    def _index(self) -> None:
-        self._by_service = {}
-        for upstream in self._all.values():
-            entry = upstream.entry
-            if (
-                upstream.gone_at is None
-                and not entry.draining
-                and entry.zone not in self.evacuated
-            ):
-                self._by_service.setdefault(entry.service, []).append(upstream)
--- a/samphirebend/gateway/view.py
+++ b/samphirebend/gateway/view.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from .book import UpstreamBook
 from .config import CallerLimits, Config
 from .news import (
     ConfigNews,
@@ -20,7 +21,6 @@
 )
 from .placement import Placement
 from .routes import BackendPicker, RouteTable
-from .upstreams import UpstreamBook
 
 # Time for which an entry that vanished around an outage of the store still counts:
 # a live upstream has written it again by then.
--- a/tests/unit/gateway/scene.py
+++ b/tests/unit/gateway/scene.py
@@ -5,6 +5,7 @@
 import random
 
 from samphirebend.addresses import Address
+from samphirebend.gateway.book import UpstreamBook
 from samphirebend.gateway.budgets import ColdLimit
 from samphirebend.gateway.config import (
     Backend,
@@ -15,7 +16,7 @@
 )
 from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.placement import Placement, Request
-from samphirebend.gateway.upstreams import Upstream, UpstreamBook
+from samphirebend.gateway.upstreams import Upstream
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 
--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -12,12 +12,13 @@
 import itertools
 import random
 
+from samphirebend.gateway.book import UpstreamBook
 from samphirebend.gateway.config import RequestKind
 from samphirebend.gateway.idle import MAX_REPEATABLE_S
 from samphirebend.gateway.learned import Learned
 from samphirebend.gateway.peers import HEARTBEAT_S
 from samphirebend.gateway.placement import Placed, Placement, Request
-from samphirebend.gateway.upstreams import Upstream, UpstreamBook
+from samphirebend.gateway.upstreams import Upstream
 
 from .scene import make_book, make_placement, make_request, make_route
 
--- a/tests/unit/gateway/test_view.py
+++ b/tests/unit/gateway/test_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from samphirebend.gateway.book import UpstreamBook
 from samphirebend.gateway.config import Config, RequestKind, Route, ServicePolicy
 from samphirebend.gateway.news import (
     ConfigNews,
@@ -11,7 +12,6 @@
     UpstreamNews,
 )
 from samphirebend.gateway.observations import fingerprint
-from samphirebend.gateway.upstreams import UpstreamBook
 from samphirebend.gateway.view import LAPSE_HOLD_S, View
 
 from .scene import REGIONS, make_entry, make_placement
