--- /dev/null
+++ b/tests/unit/gateway/test_clock.py
@@ -0,0 +1,61 @@
+"""Guards the gateway against a time of day that jumps: nothing in it reads one.
+
+Log lines carry the time of day, which the logging library reads by itself.
+"""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+LIST_MODULES = """
+import sys
+import samphirebend.platform.__main__
+for name, module in list(sys.modules.items()):
+    if name.startswith("samphirebend") and module.__file__:
+        print(module.__file__)
+"""
+TIME_OF_DAY = {"time", "time_ns", "ctime", "gmtime", "localtime", "strftime"}
+
+
+def loaded_sources() -> list[Path]:
+    """Return the project's own modules that a gateway process loads."""
+    shown = subprocess.run(
+        [sys.executable, "-c", LIST_MODULES], capture_output=True, text=True, check=True
+    )
+    return [Path(line) for line in shown.stdout.splitlines()]
+
+
+def readings(source: str) -> list[int]:
+    """Return the lines that read the time of day."""
+    found = []
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+            if node.value.id == "time" and node.attr in TIME_OF_DAY:
+                found.append(node.lineno)
+        elif isinstance(node, ast.Import):
+            found += [node.lineno for item in node.names if item.name == "datetime"]
+        elif isinstance(node, ast.ImportFrom):
+            names = {item.name for item in node.names}
+            if node.module == "datetime" or (
+                node.module == "time" and names & TIME_OF_DAY
+            ):
+                found.append(node.lineno)
+    return found
+
+
+def test_no_module_of_the_gateway_reads_the_time_of_day() -> None:
+    sources = loaded_sources()
+    assert len(sources) > 30
+    assert {str(path): readings(path.read_text()) for path in sources} == {
+        str(path): [] for path in sources
+    }
+
+
+def test_a_reading_is_found() -> None:
+    assert readings("import time\nnow = time.time()") == [2]
+    assert readings("from time import time") == [1]
+    assert readings("import datetime") == [1]
+    assert readings("import time\nnow = time.monotonic()") == []
