Try doubtful upstreams again with requests that may run once

Cause: found while reading: only requests that may be repeated were sent to a doubtful upstream as a trial, so a service of requests that run once (beslutsbok, orderbook) never went back to an upstream that had once refused a connection or had failed five times in a row, for as long as its entry stayed.

Change: after a failed connection a trial is safe for any request, since nothing is sent if it fails again: after 1 s. After failed answers a request that may run once is tried every 5 s, by the hosts in turn where several doubt it. What others tell of failures counts from when they begin to doubt the upstream. Both tests fail before.

--- a/samphirebend/gateway/learned.py
+++ b/samphirebend/gateway/learned.py
@@ -63,6 +63,6 @@
             if upstream is None:
                 continue
             if item.failed:
-                upstream.note_shared_failure()
+                upstream.note_shared_failure(now)
             else:
                 upstream.note_shared(item.object_fingerprint, item.load)
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -20,7 +20,7 @@
 from .members import Members
 from .observations import fingerprint
 from .ranking import Rankings
-from .upstreams import TRIAL_INTERVAL_S, Health, ServiceNorm, Upstream
+from .upstreams import Health, ServiceNorm, Upstream
 
 SPREAD: Final = 2  # upstreams of one object
 # Part of the objective for which a request may always wait in a queue.
@@ -31,6 +31,9 @@
 # Share of its slots up to which an upstream has room for one more object.
 SPARE_SHARE: Final = 0.5
 MAX_EXCESS_FAULTY: Final = 0.9
+TRIAL_INTERVAL_S: Final = 1.0
+# The same for a request that may run once only, where a trial may cost its outcome.
+ONCE_TRIAL_INTERVAL_S: Final = 5.0
 
 
 class Request:
@@ -209,20 +212,21 @@
     def _trial(
         self, first: Upstream, request: Request, norm: ServiceNorm, now: float
     ) -> Placed | None:
-        """Send a request that may be repeated to a doubtful upstream now and then.
+        """Send a request to a doubtful upstream now and then.
 
         The intervals of the hosts that doubt it grow with the square of their places
         in its order of hosts: all together make fewer than two trials in the shortest
         one, and one host that cannot reach it does not keep the others from it.
         """
-        if not request.route.idempotent or request.tried:
-            return None
-        if first.health(norm, now) is not Health.DOUBTFUL:
+        if request.tried or first.health(norm, now) is not Health.DOUBTFUL:
             return None
+        interval_s = TRIAL_INTERVAL_S
+        if not request.route.idempotent and not first.connect_failures:
+            interval_s = ONCE_TRIAL_INTERVAL_S
         place = 0
         if first.fails_elsewhere(norm):
             place = self._members.position(first.name)
-        interval_s = TRIAL_INTERVAL_S * (place + 1) ** 2
+        interval_s *= (place + 1) ** 2
         return Placed(first, 0, 0.0) if first.takes_trial(interval_s, now) else None
 
     def _refuse(self, reason: str, wait_s: float) -> Refused:
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -22,7 +22,6 @@
 SLOW_FACTOR: Final = 3.0  # times the usual time of its service
 SILENT_FACTOR: Final = 5.0
 MIN_SILENCE_S: Final = 1.0
-TRIAL_INTERVAL_S: Final = 1.0
 # Age up to which a good answer to this host outweighs what failed at others.
 OWN_ANSWER_FRESH_S: Final = 1.0
 # Objects remembered as handled by one upstream.
@@ -64,12 +63,12 @@
 
     __slots__ = (
         "_average_others",
+        "_doubted_at",
         "_down_until",
         "_last_answer_at",
         "_others",
         "_reported_at",
         "_sent_at",
-        "_trial_from",
         "_warm",
         "cold_until",
         "connect_failures",
@@ -105,8 +104,8 @@
         self._average_others = 0.0
         self._reported_at = 0.0
         self._down_until = 0.0
-        # From when the time to the next trial is counted; None: not in doubt.
-        self._trial_from: float | None = None
+        # Last failure or trial, from which the time to the next trial is counted.
+        self._doubted_at: float | None = None
         self._last_answer_at = 0.0
         self._sent_at: dict[int, float] = {}  # requests in flight, by number
 
@@ -169,7 +168,7 @@
         self._last_answer_at = now
         self.connect_failures = 0
         self._down_until = 0.0
-        self._trial_from = None
+        self._doubted_at = None
         self.faulty *= 1.0 - AVERAGE_WEIGHT
         if not queued:
             self.mean_s = _average(self.mean_s, elapsed_s)
@@ -184,8 +183,11 @@
         if load is not None:
             self._average(load)
 
-    def note_shared_failure(self) -> None:
+    def note_shared_failure(self, now: float) -> None:
         """Take what failed at another host, up to a heartbeat ago."""
+        if self.told_faulty <= FAULTY_SHARE:
+            # The hosts' trials are counted from when all of them begin to doubt it.
+            self._doubted_at = now
         self.told_faulty += AVERAGE_WEIGHT * (1.0 - self.told_faulty)
 
     def knows(self, object_fingerprint: int) -> bool:
@@ -199,14 +201,14 @@
     def note_failure(self, now: float) -> None:
         """Record a failed answer, or one that never came."""
         self.faulty = self.faulty * (1.0 - AVERAGE_WEIGHT) + AVERAGE_WEIGHT
-        self._trial_from = now
+        self._doubted_at = now
 
     def note_unreachable(self, now: float) -> None:
         """Record that no connection could be made, or that all were reset."""
         self.connect_failures += 1
         backoff_s = CONNECT_BACKOFF_S * 2 ** min(3, self.connect_failures - 1)
         self._down_until = now + min(MAX_BACKOFF_S, backoff_s)
-        self._trial_from = self._down_until - TRIAL_INTERVAL_S
+        self._doubted_at = now
 
     def note_report(self, total: float, now: float) -> None:
         """Take the load that it reported with an answer: requests that run or wait.
@@ -268,11 +270,11 @@
 
     def takes_trial(self, interval_s: float, now: float) -> bool:
         """Tell whether a doubtful upstream may get one request, and note it."""
-        if self._trial_from is None:
-            self._trial_from = now - TRIAL_INTERVAL_S
-        if self.in_flight or now < self._trial_from + interval_s:
+        if self.in_flight:
             return False
-        self._trial_from = now
+        if self._doubted_at is not None and now < self._doubted_at + interval_s:
+            return False
+        self._doubted_at = now
         return True
 
 
--- a/tests/unit/gateway/test_observations.py
+++ b/tests/unit/gateway/test_observations.py
@@ -69,7 +69,7 @@
     book = make_book(3)
     first, *_ = book.all()
     for _ in range(20):
-        first.note_shared_failure()
+        first.note_shared_failure(0.5)
     first.note_answer(0.3, 1, False, 1.0)
     norm = book.norm("s", 1.5)
     assert first.health(norm, 1.5) is Health.GOOD
--- a/tests/unit/gateway/test_placement.py
+++ b/tests/unit/gateway/test_placement.py
@@ -6,9 +6,15 @@
 
 import pytest
 
+from samphirebend.gateway.book import UpstreamBook
 from samphirebend.gateway.config import RequestKind, ServicePolicy
 from samphirebend.gateway.observations import fingerprint
-from samphirebend.gateway.placement import Placed, Refused
+from samphirebend.gateway.placement import (
+    ONCE_TRIAL_INTERVAL_S,
+    Placed,
+    Placement,
+    Refused,
+)
 from samphirebend.gateway.ranking import rank
 from samphirebend.gateway.upstreams import Health, ServiceNorm, Upstream
 
@@ -251,3 +257,37 @@
     assert isinstance(refused, Refused)
     upstream.note_end(0)
     assert isinstance(placement.choose(make_request(), 0.0), Placed)
+
+
+def first_of(book: UpstreamBook, key: str = "1") -> Upstream:
+    """Return the first upstream in the order of an object."""
+    return rank(key, book.usable("s"))[0]
+
+
+def times_tried(upstream: Upstream, placement: Placement, seconds: float) -> int:
+    """Return how often requests that may run once go to an upstream."""
+    route = make_route(RequestKind.NON_IDEMPOTENT)
+    tried = 0
+    for tenth in range(round(seconds * 10)):
+        choice = placement.choose(make_request("1", route), 1.0 + tenth / 10)
+        assert isinstance(choice, Placed)
+        tried += choice.upstream is upstream
+    return tried
+
+
+def test_a_service_of_requests_that_run_once_connects_again() -> None:
+    """Guards upstreams that were cut off for a while against being left for good."""
+    book = make_book()
+    first = first_of(book)
+    first.note_unreachable(0.0)
+    assert 3 <= times_tried(first, make_placement(book), 4.0) <= 5
+
+
+def test_a_service_of_requests_that_run_once_tries_a_failing_upstream_seldom() -> None:
+    book = make_book()
+    first = first_of(book)
+    for _ in range(10):
+        first.note_failure(1.0)
+    placement = make_placement(book)
+    assert times_tried(first, placement, ONCE_TRIAL_INTERVAL_S - 0.5) == 0
+    assert times_tried(first, placement, 2 * ONCE_TRIAL_INTERVAL_S + 1.0) == 2
