--- a/samphirebend/gateway/crashes.py
+++ b/samphirebend/gateway/crashes.py
@@ -18,6 +18,8 @@
 REFUSED_S: Final = 60.0
 # A suspect that crashed nothing more is forgotten after this time.
 SUSPECT_S: Final = 120.0
+# Losses at one upstream within this time belong to one crash.
+ONE_CRASH_S: Final = 0.5
 MAX_SUSPECTS: Final = 256
 MAX_SHARED: Final = 32  # suspects in one heartbeat
 
@@ -29,7 +31,8 @@
 
     def __init__(self) -> None:
         self.crashes = 0
-        self.upstreams: set[str] = set()  # crashed here, as seen by this host
+        # Upstreams that crashed, as seen by this host, and when they did so last.
+        self.upstreams: dict[str, float] = {}
         self.last_at = 0.0
 
 
@@ -54,8 +57,9 @@
     def note_crash(self, suspect: int, upstream: str, now: float) -> int:
         """Record that an upstream was gone after a request; return its crashes."""
         record = self._records.setdefault(suspect, _Record())
-        if upstream not in record.upstreams:
-            record.upstreams.add(upstream)
+        last_at = record.upstreams.get(upstream)
+        if last_at is None or now - last_at > ONE_CRASH_S:
+            record.upstreams[upstream] = now
             record.crashes += 1
         self._renew(suspect, record, now)
         return record.crashes
--- a/samphirebend/gateway/gossip.py
+++ b/samphirebend/gateway/gossip.py
@@ -3,7 +3,7 @@
 Load this answers: hundreds of hosts. Heartbeats of all to all cost each host as many
 packets a round as there are hosts: with 300 hosts a process woke up 1,500 times a
 second. From `FULL_MESH` hosts on each one greets a few drawn at random and passes on
-the newest sequence numbers that it knows of others, which reach all within a few rounds.
+the newest sequence numbers that it knows of others; they reach all in a few rounds.
 """
 
 from __future__ import annotations
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -39,6 +39,14 @@
     assert watch.refused_for_s(7, 10.0) == 0.0
 
 
+def test_an_upstream_that_crashes_again_after_its_return_counts_again() -> None:
+    """Guards an upstream that is tried again against the request that crashed it."""
+    watch = CrashWatch()
+    for number in range(3):
+        watch.note_crash(7, "u1", 10.0 + number)
+    assert watch.refused_for_s(7, 13.0) > 0.0
+
+
 def test_crashes_add_up_over_hosts() -> None:
     """Guards against three crashes at each host to which the caller returns."""
     hosts = [CrashWatch() for _ in range(3)]
