Take signals from the start of a gateway process on

A second SIGTERM came 0.2 s after its restart, while Python still loaded the libraries and no handler was set.

Change: the program sets its handlers before it loads the libraries. SIGTERM ends it with status 0, since nothing is served yet; SIGHUP is remembered and the settings are read anew once it runs. The tests wait until the process catches both signals and assert that the libraries are not loaded yet; without the change they fail there.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -16,6 +16,7 @@
 from ..httpclient import ConnectionPool
 from ..kernel import Kernel
 from ..metrics import Metrics
+from ..startsignals import StartSignals
 from .book import UpstreamBook
 from .budgets import ColdLimit, RetryBudget
 from .dialect import Dialect
@@ -239,11 +240,14 @@
 
 
 def run_app(
-    app: App, read_settings: Callable[[], Result[GatewaySettings, str]], reactor: Any
+    app: App,
+    read_settings: Callable[[], Result[GatewaySettings, str]],
+    reactor: Any,
+    signals: StartSignals,
 ) -> int:
     """Run a gateway until it is told to stop; return the exit status.
 
-    `read_settings` is called for each signal to reload them.
+    `read_settings` is called for each signal to reload them; `signals` came before.
     """
     status = [0]
 
@@ -268,7 +272,12 @@
         signal.signal(signal.SIGINT, on_signal)
         signal.signal(signal.SIGHUP, on_reload)
         Deferred.fromCoroutine(app.run()).addErrback(fail)
+        if signals.reload_wanted:
+            app.reload(read_settings())
+        if signals.stop_wanted:
+            begin_stop()
 
+    signals.loaded = True
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=False)
     return status[0]
--- a/samphirebend/platform/__main__.py
+++ b/samphirebend/platform/__main__.py
@@ -2,63 +2,14 @@
 
 from __future__ import annotations
 
-import os
 import sys
-import time
-from pathlib import Path
-from typing import Any, Final
 
-from result import Err, Result
+from ..startsignals import StartSignals
 
-from ..collector import limit_collections
-from ..gateway.app import App, run_app
-from ..gateway.logbudget import LogBudget, NonBlockingStream, event_of
-from ..gateway.settings import GatewaySettings
-from ..logs import set_up_logs
-from . import exchanges
-from .records import TABLES
-from .settings import SETTINGS_VARIABLE, decode_settings
-from .store import make_platform_store
-
-EXIT_BAD_SETTINGS: Final = 2
-
-
-def read_settings() -> Result[GatewaySettings, str]:
-    """Return the settings, or what is wrong with their file."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        return Err(f"{SETTINGS_VARIABLE}={path}: {exc}")
-    return decode_settings(text).map_err(lambda fault: f"{path}: {fault}")
-
-
-def main() -> int:
-    """Read the settings and run until told to stop; return the exit status."""
-    read = read_settings()
-    if isinstance(read, Err):
-        sys.stderr.write(f"{read.err_value}\n")
-        return EXIT_BAD_SETTINGS
-    cfg = read.ok_value
-    budget = LogBudget()
-    set_up_logs(
-        "INFO",
-        "json",
-        cfg.host,
-        NonBlockingStream(sys.stdout.fileno(), budget),
-        admits=lambda record: budget.admits(event_of(record), time.monotonic()),
-    )
-
-    from twisted.internet import reactor as installed_reactor
-
-    reactor: Any = installed_reactor
-    # Twisted's timers follow the wall clock by default, which may be set.
-    reactor.seconds = time.monotonic
-    store = make_platform_store(cfg.store.address, reactor, time.monotonic, cfg.host_ip)
-    app = App(cfg, exchanges, store, TABLES, budget, reactor)
-    limit_collections()
-    return run_app(app, read_settings, reactor)
+signals = StartSignals()
 
+# Loaded after signals are held, since this takes most of the time of a start.
+from .program import main  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(signals))
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -287,3 +287,41 @@
     gateway.reload('graceS = "soon"', "graceS = 6")
     eventually(lambda: len(lines("reloaded")) == 2, WAIT_S, "settings mended")
     assert system.get("/read/x")[0] == 200
+
+
+class Starting:
+    """A gateway process that is still loaded, from when it takes signals."""
+
+    def __init__(self, folder: Path) -> None:
+        self.gateway = GatewayProcess("127.0.0.1:9", "127.0.0.4", "a1", ZONES, folder)
+        eventually(self.takes_signals, WAIT_S, "signals taken")
+        maps = Path(f"/proc/{self.gateway.child.pid}/maps").read_text()
+        assert "msgspec" not in maps, "signals are taken only when all is loaded"
+
+    def takes_signals(self) -> bool:
+        status = Path(f"/proc/{self.gateway.child.pid}/status").read_text()
+        line = next(row for row in status.splitlines() if row.startswith("SigCgt:"))
+        caught = int(line.split()[1], 16)
+        wanted = (signal.SIGHUP, signal.SIGTERM)
+        return all(caught >> (number - 1) & 1 for number in wanted)
+
+
+def test_a_signal_to_reload_does_not_end_a_starting_process(tmp_path: Path) -> None:
+    """Guards hosts against a reload of the settings just after their restart."""
+    starting = Starting(tmp_path)
+    gateway = starting.gateway
+    gateway.child.send(signal.SIGHUP)
+
+    def reloaded() -> bool:
+        return any(line.get("event") == "reloaded" for line in gateway.events())
+
+    eventually(reloaded, WAIT_S, "settings read anew")
+    assert gateway.child.running()
+    gateway.end()
+
+
+def test_a_signal_to_stop_ends_a_starting_process_cleanly(tmp_path: Path) -> None:
+    """Guards operators against a failed exit (soak seed 5048, 30 s)."""
+    starting = Starting(tmp_path)
+    starting.gateway.child.send(signal.SIGTERM)
+    assert starting.gateway.child.process.wait(WAIT_S) == 0
--- a/tests/unit/gateway/test_clock.py
+++ b/tests/unit/gateway/test_clock.py
@@ -12,7 +12,7 @@
 
 LIST_MODULES = """
 import sys
-import samphirebend.platform.__main__
+import samphirebend.platform.program
 for name, module in list(sys.modules.items()):
     if name.startswith("samphirebend") and module.__file__:
         print(module.__file__)
