Wait for the first share of a link before a keyed request is passed on

Change: a request that only one host can execute waits up to 1 s for the share. The test fails without it.

--- a/samphirebend/relay.py
+++ b/samphirebend/relay.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum, unique
 from typing import Any, Final, Protocol
 
 from result import Err, Ok, Result
+from twisted.internet.task import deferLater
 
 from .errorcodes import ErrorKind, Outcome
 from .exchange import (
@@ -35,6 +37,9 @@
 
 # The peer gives up first, so that its answer still arrives in time.
 DEADLINE_MARGIN_S: Final = 0.02
+# Two heartbeats: time for a host that has just started to get its share of a link.
+SHARE_WAIT_S: Final = 1.0
+SHARE_CHECK_S: Final = 0.02
 
 
 @unique
@@ -108,9 +113,11 @@
         if isinstance(acquired, Err):
             return Err(ErrorKind.CONNECT_FAILED)
         conn = acquired.ok_value
-        remaining_s = job.deadline - self._reactor.seconds()
         pacer = self._router.pacer_to(peer.region)
         sends = plan_sends(job, pacer)
+        if mode is RelayMode.EXECUTE:
+            sends = await self._wait_for_share(job, pacer, sends)
+        remaining_s = job.deadline - self._reactor.seconds()
         if sends[-1].wait_s + DEADLINE_MARGIN_S >= remaining_s:
             conn.cancel()
             return Err(ErrorKind.LINK_CAP_REACHED)
@@ -134,6 +141,20 @@
             return received
         return Ok(_read_answer(receiver.head_seen, received.ok_value))
 
+    async def _wait_for_share(
+        self, job: Job, pacer: Pacer | None, sends: list[Send]
+    ) -> list[Send]:
+        """Return the sends once this host has a share of the link, if it gets one.
+
+        A host that has just started has none yet, and no other host can execute the
+        request.
+        """
+        give_up_at = min(job.deadline, self._reactor.seconds() + SHARE_WAIT_S)
+        while math.isinf(sends[0].wait_s) and self._reactor.seconds() < give_up_at:
+            await deferLater(self._reactor, SHARE_CHECK_S)
+            sends = plan_sends(job, pacer)
+        return sends
+
     def _make_headers(self, head: ResponseHead) -> Headers:
         request_id = head.header.get(b"request-id", b"").decode("latin-1")
         served_by = head.header.get(b"served-by", b"").decode("latin-1")
--- /dev/null
+++ b/tests/unit/test_relay.py
@@ -0,0 +1,67 @@
+"""Guards keyed requests that a host passes on to the one that owns their key."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+from unittest.mock import Mock
+
+import pytest
+from result import Err, Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from samphirebend.errorcodes import ErrorKind
+from samphirebend.relay import SHARE_WAIT_S, RelayClient, RelayMode
+
+DEADLINE_S = 5.0
+
+
+class Scene:
+    """A relayed request of a host that has no share of the link yet."""
+
+    def __init__(self, mode: RelayMode) -> None:
+        self.clock = Clock()
+        self.wait_s = math.inf
+        self.conn = Mock(open=True)
+        pool = Mock()
+
+        async def acquire(_address: object) -> Any:
+            return Ok(self.conn)
+
+        pool.acquire = acquire
+        router = Mock()
+        pacer = Mock(side_effect=lambda _size: self.wait_s)
+        pacer.piece_bytes.return_value = 65536
+        router.pacer_to.return_value = pacer
+        router.answer_pacer.return_value = None
+        job = Mock(body=b"", headers=[], request_id="r", target="/a", key="k")
+        job.deadline, job.overflow = DEADLINE_S, False
+        job.body_headers.return_value = []
+        job.service.name = "write"
+        client = RelayClient("here", self.clock, pool, router)
+        self.ended: list[Any] = []
+        done = Deferred.fromCoroutine(client.send(job, Mock(), mode))
+        done.addBoth(self.ended.append)
+
+
+def test_a_keyed_request_waits_for_the_first_share_of_a_link() -> None:
+    """Guards a repeat at a host that has just started against an unknown outcome."""
+    scene = Scene(RelayMode.EXECUTE)
+    scene.clock.advance(SHARE_WAIT_S / 2)
+    assert not scene.conn.send.called
+    scene.wait_s = 0.0
+    scene.clock.pump([0.05] * 2)
+    assert scene.conn.send.called
+    assert not scene.ended
+
+
+@pytest.mark.parametrize(
+    ("mode", "waits_s"), [(RelayMode.EXECUTE, SHARE_WAIT_S), (RelayMode.DISPATCH, 0.0)]
+)
+def test_a_link_without_a_share_is_given_up(mode: RelayMode, waits_s: float) -> None:
+    """Guards callers against long waits, where another host may run the request."""
+    scene = Scene(mode)
+    scene.clock.pump([0.02] * round(waits_s / 0.02 + 2))
+    assert scene.ended == [Err(ErrorKind.LINK_CAP_REACHED)]
+    assert not scene.conn.send.called
