Do not read a head that stops and the next response as one

Cause: an upstream that stops within a head and then sends a second response to the same request yields one head to the parser, if the cut lies within the reason phrase or a header value. The gateway then passed on the status of the first with the signature and body of the second, or two ids or signatures.

Ruled out: a close or reset without further bytes; the parser needs the empty line, and the connection fails the exchange if no head was received.

Change: a reason phrase that contains a status line fails the exchange, and a response with more than one id or signature is not taken for the upstream's.

--- a/samphirebend/httpclient.py
+++ b/samphirebend/httpclient.py
@@ -38,6 +38,9 @@
 # Size up to which a response to another request is skipped. A longer one may
 # have no end.
 MAX_SKIPPED_BYTES: Final = 1024 * 1024
+# In a reason phrase, it shows that a response stopped within its status line and
+# that another response followed.
+_STATUS_LINE_START: Final = b"HTTP/"
 # Size of the parts in which the placeholder of a sent body is passed to a new
 # parser.
 SKIP_CHUNK_BYTES: Final = 64 * 1024
@@ -251,6 +254,9 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
         if isinstance(event, h11.Response):
+            if _STATUS_LINE_START in event.reason:
+                self._fail(ErrorKind.UPSTREAM_BROKEN)
+                return False
             return self._take_head(ResponseHead(event.status_code, list(event.headers)))
         if isinstance(event, h11.Data):
             self._take_data(bytes(event.data))
--- a/samphirebend/platform/httpcodec.py
+++ b/samphirebend/platform/httpcodec.py
@@ -79,11 +79,10 @@
 def read_response(head: ResponseHead, request_id: str) -> ResponseInfo:
     """Decode the head of an upstream's response to the given request."""
     response_info = ResponseInfo()
-    response_info.names_request = _REQUEST_ID in head.header
-    response_info.matches_request = (
-        head.header.get(_REQUEST_ID, b"").decode("latin-1") == request_id
-    )
-    response_info.from_upstream = _SIGNATURE in head.header
+    request_ids = _values(head, _REQUEST_ID)
+    response_info.names_request = bool(request_ids)
+    response_info.matches_request = request_ids == [request_id.encode("latin-1")]
+    response_info.from_upstream = len(_values(head, _SIGNATURE)) == 1
     response_info.not_run = _NOT_RUN in head.header or head.status in _NOT_RUN_STATUSES
     response_info.other_upstream = head.status == 421
     response_info.load = _read_load(head.header.get(_LOAD, b""))
@@ -98,6 +97,15 @@
     return response_info
 
 
+def _values(head: ResponseHead, name: bytes) -> list[bytes]:
+    """Return all values of a header.
+
+    More than one id or signature shows that a response stopped within its head
+    and that another response followed.
+    """
+    return [value for key, value in head.headers if key == name]
+
+
 def _read_load(value: bytes) -> int | None:
     """Return the number of requests that run or wait at an upstream.
 
