Give hosts their first tokens under a limit at spread times

Change: after the learning time each host starts with the part of a token that a host in steady state would have.

What still binds: a host's share follows its reported demand, which is 0 until the heartbeat after its first request, and a host without a share keeps no token, so the first request at each host is refused.

--- a/samphirebend/gateway/ratelimits.py
+++ b/samphirebend/gateway/ratelimits.py
@@ -47,6 +47,7 @@
 MAX_REPORTS: Final = 60  # limits reported in one heartbeat
 MAX_REPORTED_AGE_S: Final = 600.0
 NO_LIMIT: Final = math.inf
+MAX_SCORE: Final = 2.0**64  # above the highest rank of a host for an upstream
 _LAYOUT: Final = struct.Struct("<Ifff")  # upstream, limit, age, demand
 
 
@@ -77,6 +78,7 @@
         "reported_demand",
         "share",
         "share_at",
+        "started",
         "tokens",
         "tokens_at",
     )
@@ -97,6 +99,7 @@
         self.share_at = -math.inf  # time when it was computed
         self.tokens = 0.0
         self.tokens_at = now
+        self.started = False  # whether the first tokens were given
 
     @property
     def rate_per_s(self) -> float:
@@ -212,6 +215,9 @@
             limited.share = self._share(upstream, limited, now)
             limited.share_at = now
         per_s = limited.rate_per_s * limited.share
+        if not limited.started and now - limited.learned_at >= LEARN_S:
+            limited.started = True
+            limited.tokens += self._first_tokens(upstream, limited, now)
         added = per_s * max(0.0, now - limited.tokens_at)
         most = max(MIN_BURST, per_s) if per_s else 0.0
         limited.tokens = min(limited.tokens + added, most)
@@ -240,6 +246,23 @@
             return min(share, 1.0 / max(1, self.host_count))
         return share
 
+    def _first_tokens(
+        self, upstream: int, limited: _LimitedUpstream, now: float
+    ) -> float:
+        """Return the tokens with which this host starts under a limit.
+
+        Many hosts that all start with none would leave a small limit unused
+        until each has saved a whole token. Starts are spread evenly, so that the
+        part of the hosts that has a token is the part of the demand that the
+        limit admits.
+        """
+        spread = _score(self._host, upstream) / MAX_SCORE
+        if self.gossip_hosts:
+            return spread
+        total = sum(limited.fresh_peer_demand(now).values()) + limited.reported_demand
+        admitted = min(1.0, limited.rate_per_s / total) if total else 1.0
+        return admitted + spread
+
     def _fixed_share(self, upstream: int, limited: _LimitedUpstream) -> float:
         """Return an even part for the first hosts in the upstream's order."""
         room = int(limited.rate_per_s * BURST_S + BURST_SLACK)
@@ -262,6 +285,7 @@
         limited.limit_per_s, limited.named_at = limit_per_s, named_at
         if was_lifted and not _is_lifted(limited):
             limited.learned_at = now
+            limited.started = False
         return was_lifted is not _is_lifted(limited)
 
     def _forget_old(self, now: float) -> None:
