--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -17,15 +17,15 @@
 from ..requestlifecycle import make_request_lifecycle
 from ..serverrequest import ServerRequest
 from ..suspects import fingerprint
+from . import attemptresults
 from .attempt import Attempt, AttemptEnd
 from .body import RequestBody
 from .config import Route
 from .context import GatewayContext
-from .dialect import CallerInfo, ResponseInfo
+from .dialect import CallerInfo
 from .placement import Placed, PlacementRequest, Refused
 from .requestlog import RequestLog
 from .stopschedule import StopSchedule
-from .upstreams import Upstream
 
 # Values of Retry-After. The short one is sent during the shutdown and after
 # the deadline of a request.
@@ -34,10 +34,6 @@
 ATTEMPTS_SPENT_RETRY_AFTER_S: Final = 0.2
 # Number of failed connections up to which a request is retried.
 MAX_CONNECT_FAILURES: Final = 3
-# A response missing at the deadline counts as the upstream's failure only if
-# the upstream had at least this multiple of the expected time.
-OVERDUE_FACTOR: Final = 2.0
-STOPPING_REASON: Final = "stopping"
 SERVER_ERROR: Final = 500  # lowest status code of a server error
 
 
@@ -134,12 +130,12 @@
         gateway = self._gateway
         routes = gateway.routing_state.routes
         if routes is None:
-            self._refuse(ErrorKind.NO_MANIFEST, NO_CONFIG_RETRY_AFTER_S, "no-config")
+            kind = ErrorKind.NO_MANIFEST
+            self._refuse(Refused("no-config", NO_CONFIG_RETRY_AFTER_S, kind))
             return False
         schedule = gateway.stop_schedule
         if schedule is not None and not schedule.accepts(self._started_at):
-            kind = ErrorKind.HOST_STOPPING
-            self._refuse(kind, SHORT_RETRY_AFTER_S, STOPPING_REASON)
+            self._refuse(_host_stopping())
             return False
         path = self._req.target.partition("?")[0]
         route = routes.match(self._caller.host_name, path)
@@ -195,7 +191,7 @@
         expected_s = self._gateway.placement.expected_s(choice, request, now)
         if schedule.can_finish(expected_s, now):
             return choice
-        return Refused(STOPPING_REASON, SHORT_RETRY_AFTER_S)
+        return _host_stopping()
 
     def check_stop(self, schedule: StopSchedule, now: float) -> None:
         """End the request if a stopping host cannot finish it.
@@ -215,11 +211,7 @@
                 self._end_at_stop()
 
     def _end_at_stop(self) -> None:
-        if self._lifecycle.outcome() is Outcome.DID_NOT_RUN:
-            kind = ErrorKind.HOST_STOPPING
-            self._refuse(kind, SHORT_RETRY_AFTER_S, STOPPING_REASON)
-        else:
-            self._fail(ErrorKind.UPSTREAM_TIMEOUT)
+        self._refuse_or_fail(_host_stopping(), ErrorKind.UPSTREAM_TIMEOUT)
         if self._attempt is not None:
             self._attempt.cancel()
 
@@ -231,11 +223,9 @@
         retry_after_s = crashes.quarantine_left_s(self._request_fingerprint(), now)
         if not retry_after_s:
             return False
-        if self._lifecycle.outcome() is Outcome.DID_NOT_RUN:
-            kind = ErrorKind.REQUEST_QUARANTINED
-            self._refuse(kind, retry_after_s, "crashes-upstreams")
-        else:
-            self._fail(ErrorKind.UPSTREAM_BROKEN)
+        kind = ErrorKind.REQUEST_QUARANTINED
+        refused = Refused("crashes-upstreams", retry_after_s, kind)
+        self._refuse_or_fail(refused, ErrorKind.UPSTREAM_BROKEN)
         return True
 
     def _request_fingerprint(self) -> int:
@@ -259,7 +249,7 @@
             upstream,
             may_buffer=route.idempotent,
         )
-        attempt.on_head = partial(self._handle_head, upstream)
+        attempt.on_head = partial(attemptresults.record_head, gateway, upstream)
         self._attempt, self._choice = attempt, choice
         now = gateway.reactor.seconds()
         max_idle_s = gateway.feedback.idle_limit.allowed_s(route.idempotent, now)
@@ -294,62 +284,46 @@
         self._lifecycle.begin_dispatch()
         attempt.send(self._body, max(0.001, self._deadline - now))
 
-    def _handle_head(self, upstream: Upstream, info: ResponseInfo) -> None:
-        if info.limit_per_s is not None:
-            now = self._gateway.reactor.seconds()
-            self._gateway.feedback.record_limit(upstream, info.limit_per_s, now)
-
     def _handle_end(
         self, attempt: Attempt, choice: Placed, sent_at: float | None
     ) -> None:
-        now = self._gateway.reactor.seconds()
-        upstream, end = attempt.upstream, attempt.end_kind
-        if attempt.response_info.load is not None:
-            upstream.record_load_report(attempt.response_info.load, now)
+        gateway, end = self._gateway, attempt.end_kind
+        now = gateway.reactor.seconds()
+        attemptresults.record_load(attempt, now)
         elapsed_s = now - (sent_at if sent_at is not None else now)
         if end is AttemptEnd.ANSWERED or end is AttemptEnd.STREAMED:
             self._lifecycle.attempt_answered()
-            self._handle_response(attempt, upstream, elapsed_s, choice, now)
+            self._handle_response(attempt, elapsed_s, choice, now)
             return
         if end is AttemptEnd.WITHDRAWN:
             self._log.log_failed_attempt(attempt, choice, elapsed_s)
             return
         self._last_failed = attempt
-        feedback = self._gateway.feedback
         if end is AttemptEnd.NOT_RUN:
             self._lifecycle.attempt_refused()
-            if attempt.response_info.other_upstream:
-                self._gateway.routing_state.registry.remove(upstream.name, now)
-            else:
-                feedback.record_refusal(upstream, now)
+            attemptresults.record_not_run(gateway, attempt, now)
         elif end is AttemptEnd.LOST:
             self._lifecycle.attempt_uncertain()
-            feedback.record_failure(upstream, now)
-            self._handle_reset(attempt, elapsed_s, now)
+            attemptresults.record_lost(gateway, attempt, elapsed_s, now)
+            self._check_for_crash(attempt)
         elif end is AttemptEnd.NOT_SENT:
             self._connect_failures += 1
-            feedback.record_unreachable(upstream, now)
+            gateway.feedback.record_unreachable(attempt.upstream, now)
         elif attempt.sent:
             self._lifecycle.attempt_uncertain()
         if end is not AttemptEnd.CANCELLED:
             self._log.log_failed_attempt(attempt, choice, elapsed_s)
 
-    def _handle_reset(self, attempt: Attempt, elapsed_s: float, now: float) -> None:
-        """Check for a crash and lower the idle limit, if this was a reset."""
-        if attempt.error is not ErrorKind.UPSTREAM_BROKEN:
-            return
-        self._gateway.crash_checks.begin(
-            attempt.upstream, self._request_fingerprint(), self._caller.request_id
-        )
-        if attempt.reused_connection:
-            self._gateway.feedback.idle_limit.record_reset(
-                attempt.idle_s, elapsed_s, now
+    def _check_for_crash(self, attempt: Attempt) -> None:
+        """Check whether an upstream that reset its connection has crashed."""
+        if attempt.error is ErrorKind.UPSTREAM_BROKEN:
+            self._gateway.crash_checks.begin(
+                attempt.upstream, self._request_fingerprint(), self._caller.request_id
             )
 
     def _handle_response(
         self,
         attempt: Attempt,
-        upstream: Upstream,
         elapsed_s: float,
         choice: Placed,
         now: float,
@@ -357,22 +331,19 @@
         head, route = attempt.response_head, self._route
         assert head is not None
         assert route is not None
+        gateway = self._gateway
         if head.status >= SERVER_ERROR:
-            self._gateway.feedback.record_failure(upstream, now)
+            gateway.feedback.record_failure(attempt.upstream, now)
             if route.idempotent and attempt.end_kind is AttemptEnd.ANSWERED:
                 self._last_failed = attempt
                 if self._may_retry(route):
                     self._log.log_failed_attempt(attempt, choice, elapsed_s)
                     return
         else:
-            if self._gateway.feedback.crashes:
-                self._gateway.feedback.crashes.clear_suspect(
-                    self._request_fingerprint()
-                )
-            object_fingerprint = self._object_fingerprint
-            upstream.record_success(elapsed_s, object_fingerprint, choice.queued, now)
-            self._gateway.feedback.record_success(
-                upstream, object_fingerprint, attempt.response_info.load
+            if gateway.feedback.crashes:
+                gateway.feedback.crashes.clear_suspect(self._request_fingerprint())
+            attemptresults.record_success(
+                gateway, attempt, self._object_fingerprint, choice, elapsed_s, now
             )
         self._respond(attempt, choice, elapsed_s)
 
@@ -402,7 +373,6 @@
     ) -> None:
         head = attempt.response_head
         assert head is not None
-        now = self._gateway.reactor.seconds()
         if attempt.end_kind is AttemptEnd.ANSWERED and not self._finished:
             headers = [
                 header
@@ -414,9 +384,8 @@
             self._req.respond(
                 head.status, headers, attempt.body, length if is_head else None
             )
-        elapsed_s = now - self._started_at
-        metrics = self._gateway.metrics
-        metrics.count_request(self._service, Outcome.DONE, elapsed_s)
+        elapsed_s = self._elapsed_s()
+        self._gateway.metrics.count_request(self._service, Outcome.DONE, elapsed_s)
         if head.status >= SERVER_ERROR or self._gateway.should_log_success():
             self._log.log_response(
                 attempt,
@@ -433,18 +402,12 @@
         last = self._last_failed
         if last is not None and last.end_kind is AttemptEnd.ANSWERED:
             self._respond(last)  # pass on the upstream's own error response
-        elif self._lifecycle.outcome() is Outcome.DID_NOT_RUN:
-            kind = ErrorKind.CAP_REACHED
-            if refused.reason == STOPPING_REASON:
-                kind = ErrorKind.HOST_STOPPING
-            elif refused.reason == "no-upstream":
-                kind = ErrorKind.NO_UPSTREAM
-            elif last is not None and last.end_kind is AttemptEnd.NOT_RUN:
-                kind = ErrorKind.UPSTREAM_REFUSED
-            self._refuse(kind, refused.retry_after_s, refused.reason)
-        else:
-            error = last.error if last is not None else None
-            self._fail(error or ErrorKind.UPSTREAM_BROKEN)
+            return
+        was_refused = last is not None and last.end_kind is AttemptEnd.NOT_RUN
+        if was_refused and refused.kind is ErrorKind.CAP_REACHED:
+            refused.kind = ErrorKind.UPSTREAM_REFUSED
+        error = last.error if last is not None else None
+        self._refuse_or_fail(refused, error or ErrorKind.UPSTREAM_BROKEN)
 
     def _on_deadline(self) -> None:
         """Fail the request at its deadline, unless a response is streaming."""
@@ -455,25 +418,19 @@
             if self._req.closed and attempt is not None:
                 attempt.cancel()
             return
-        sent = self._lifecycle.outcome() is not Outcome.DID_NOT_RUN
         if attempt is not None:
             if attempt.streaming:
                 return
-            self._record_if_overdue(attempt)
-        if sent:
-            self._fail(ErrorKind.UPSTREAM_TIMEOUT)
-        else:
-            self._refuse(ErrorKind.DEADLINE_PASSED, SHORT_RETRY_AFTER_S, "deadline")
+            waited_s = self._gateway.reactor.seconds() - self._sent_at
+            attemptresults.record_unanswered(
+                self._gateway, attempt, self._choice, waited_s
+            )
+        kind = ErrorKind.DEADLINE_PASSED
+        refused = Refused("deadline", SHORT_RETRY_AFTER_S, kind)
+        self._refuse_or_fail(refused, ErrorKind.UPSTREAM_TIMEOUT)
         if attempt is not None:
             attempt.cancel()
 
-    def _record_if_overdue(self, attempt: Attempt) -> None:
-        """Record a missing response as a failure if it is overdue."""
-        now = self._gateway.reactor.seconds()
-        expected_s = self._choice.cost_s if self._choice is not None else 0.0
-        if now - self._sent_at >= OVERDUE_FACTOR * expected_s:
-            self._gateway.feedback.record_failure(attempt.upstream, now)
-
     def _on_caller_lost(self) -> None:
         attempt, route = self._attempt, self._route
         if attempt is None or self._req.finished:
@@ -489,43 +446,42 @@
         if cancelled:
             attempt.cancel()
 
-    def _refuse(self, kind: ErrorKind, retry_after_s: float, reason: str) -> None:
+    def _refuse_or_fail(self, refused: Refused, failure: ErrorKind) -> None:
+        """Refuse the request if it did not run, else fail it with `failure`."""
+        if self._lifecycle.outcome() is Outcome.DID_NOT_RUN:
+            self._refuse(refused)
+        else:
+            self._fail(failure)
+
+    def _refuse(self, refused: Refused) -> None:
         """Respond that the request did not run and when to retry it."""
-        if self._finished:
-            return
-        self._gateway.metrics.count_refusal(kind)
-        headers = [
-            (b"Error-Kind", kind.value.encode()),
-            (b"Request-Outcome", Outcome.DID_NOT_RUN.value.encode()),
-            (b"Retry-After", f"{retry_after_s:.2f}".encode()),
-        ]
-        self._log_failure(kind, Outcome.DID_NOT_RUN, reason, retry_after_s)
-        self._req.respond(503, headers, ERROR_RESPONSES[kind].text.encode())
+        kind, outcome = refused.kind, Outcome.DID_NOT_RUN
+        self._send_error(kind, 503, outcome, refused.reason, refused.retry_after_s)
 
     def _fail(self, kind: ErrorKind) -> None:
         """Respond with an error and what is known of the request's outcome."""
-        if self._finished:
-            return
         may_have_run = self._lifecycle.outcome() is not Outcome.DID_NOT_RUN
         outcome = failure_outcome(kind, may_have_run)
-        self._gateway.metrics.count_refusal(kind)
-        headers = [
-            (b"Error-Kind", kind.value.encode()),
-            (b"Request-Outcome", outcome.value.encode()),
-        ]
-        self._log_failure(kind, outcome, kind.value, None)
-        self._req.respond(
-            ERROR_RESPONSES[kind].status, headers, ERROR_RESPONSES[kind].text.encode()
-        )
+        self._send_error(kind, ERROR_RESPONSES[kind].status, outcome, kind.value)
 
-    def _log_failure(
+    def _send_error(
         self,
         kind: ErrorKind,
+        status: int,
         outcome: Outcome,
         reason: str,
-        retry_after_s: float | None,
+        retry_after_s: float | None = None,
     ) -> None:
+        if self._finished:
+            return
         gateway, attempt = self._gateway, self._attempt
+        gateway.metrics.count_refusal(kind)
+        headers = [
+            (b"Error-Kind", kind.value.encode()),
+            (b"Request-Outcome", outcome.value.encode()),
+        ]
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
         config = gateway.routing_state.config
         self._log.log_failure(
             kind,
@@ -539,7 +495,12 @@
             upstreams=len(gateway.routing_state.registry.usable(self._service)),
             config_version=config.version if config is not None else 0,
         )
+        self._req.respond(status, headers, ERROR_RESPONSES[kind].text.encode())
 
     def _elapsed_s(self) -> float:
         elapsed_s: float = self._gateway.reactor.seconds() - self._started_at
         return elapsed_s
+
+
+def _host_stopping() -> Refused:
+    return Refused("stopping", SHORT_RETRY_AFTER_S, ErrorKind.HOST_STOPPING)
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -16,6 +16,7 @@
 import random
 from typing import Final
 
+from ..errorcodes import ErrorKind
 from .budgets import ColdLimit
 from .config import RequestKind, Route, ServicePolicy
 from .members import Members
@@ -78,11 +79,17 @@
 class Refused:
     """Decision not to send the request to any upstream."""
 
-    __slots__ = ("reason", "retry_after_s")
+    __slots__ = ("kind", "reason", "retry_after_s")
 
-    def __init__(self, reason: str, retry_after_s: float) -> None:
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float,
+        kind: ErrorKind = ErrorKind.CAP_REACHED,
+    ) -> None:
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.kind = kind
 
 
 class Candidates:
@@ -142,7 +149,8 @@
         )
         candidates = self._candidates(ranked, request, baseline, now)
         if candidates.first is None:
-            return self._refuse("no-upstream", MIN_RETRY_AFTER_S)
+            kind = ErrorKind.NO_UPSTREAM
+            return self._refuse("no-upstream", MIN_RETRY_AFTER_S, kind)
         trial = self._trial(candidates.first, request, baseline, now)
         if trial is not None:
             return trial
@@ -308,10 +316,15 @@
         self._admit(first, now)
         return Placed(first, 0, 0.0)
 
-    def _refuse(self, reason: str, retry_after_s: float) -> Refused:
+    def _refuse(
+        self,
+        reason: str,
+        retry_after_s: float,
+        kind: ErrorKind = ErrorKind.CAP_REACHED,
+    ) -> Refused:
         """Refuse with a jittered retry delay, to spread the retries."""
         retry_after_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, retry_after_s))
-        return Refused(reason, retry_after_s * self._rng.uniform(0.8, 1.6))
+        return Refused(reason, retry_after_s * self._rng.uniform(0.8, 1.6), kind)
 
 
 def _estimate_options(
