Stop listening before the last responses of a stop are delivered

Cause: a stopping host waited for its last responses while it still accepted connections; a request that came in that time was refused and its connection reset when the services stopped, so that the refusal could be lost.

Change: the port is closed first.

--- a/samphirebend/gateway/shutdown.py
+++ b/samphirebend/gateway/shutdown.py
@@ -81,11 +81,12 @@
             request.check_stop(schedule, now)
 
     async def _flush(self, schedule: StopSchedule) -> None:
-        """Close the callers' connections once their responses are written.
+        """Stop listening and wait until all responses are delivered.
 
-        A reset would discard the end of a response that a caller reads slowly.
+        A reset would discard the end of a response that a caller reads slowly,
+        or the refusal of a request that arrived last.
         """
         requests = self._front.requests
-        requests.close_all()
+        await requests.close_port()
         while requests.connections and self._reactor.seconds() < schedule.exits_by:
             await deferLater(self._reactor, POLL_INTERVAL_S)
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -402,10 +402,6 @@
         if port is not None:
             await port.stopListening()
         self.draining = True
-        self.close_all()
-
-    def close_all(self) -> None:
-        """Close all connections without a request whose response is missing."""
         for conn in list(self.connections):
             conn.close_if_idle()
 
