--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -186,34 +186,28 @@
     ) -> Placed | Refused:
         """Refuse what a stopping host cannot finish at the chosen upstream."""
         schedule = self._gateway.stop_schedule
-        if schedule is None:
-            return choice
-        expected_s = self._gateway.placement.expected_s(choice, request, now)
-        if schedule.can_finish(expected_s, now):
-            return choice
-        return _host_stopping()
+        if schedule is not None:
+            expected_s = self._gateway.placement.expected_s(choice, request, now)
+            if not schedule.can_finish(expected_s, now):
+                return _host_stopping()
+        return choice
 
     def check_stop(self, schedule: StopSchedule, now: float) -> None:
         """End the request if a stopping host cannot finish it.
 
-        A request whose body is incomplete is refused when it would be too late
-        to pass it on; one that was passed on gets an error response in time
-        before the end.
+        Without a complete body, that is when it is too late to pass it on.
         """
         if self._finished:
             return
-        if now >= schedule.answers_by:
-            self._end_at_stop()
-        elif self._attempt is None and self._service:
+        is_late = now >= schedule.answers_by
+        if not is_late and self._attempt is None and self._service:
             registry = self._gateway.routing_state.registry
             expected_s = registry.baseline(self._service, now).mean_latency_s
-            if not schedule.can_finish(expected_s, now):
-                self._end_at_stop()
-
-    def _end_at_stop(self) -> None:
-        self._refuse_or_fail(_host_stopping(), ErrorKind.UPSTREAM_TIMEOUT)
-        if self._attempt is not None:
-            self._attempt.cancel()
+            is_late = not schedule.can_finish(expected_s, now)
+        if is_late:
+            self._refuse_or_fail(_host_stopping(), ErrorKind.UPSTREAM_TIMEOUT)
+            if self._attempt is not None:
+                self._attempt.cancel()
 
     def _refuse_quarantined(self, now: float) -> bool:
         """Refuse a quarantined request; return whether it was refused."""
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -5,10 +5,9 @@
 import random
 from typing import Final
 
-import xxhash
-
 from ..addresses import Address
 from .observations import fingerprint
+from .rendezvous import score
 
 # Time without a heartbeat after which a host counts as lost, so that callers
 # are sent to other hosts.
@@ -66,10 +65,6 @@
         self.row_versions: dict[str, int] = {}
 
 
-def _score(host: str, key: str) -> int:
-    return int(xxhash.xxh3_64_intdigest(f"{host}/{key}".encode()))
-
-
 class Members:
     """This host and all other known hosts."""
 
@@ -179,13 +174,13 @@
 
     def position(self, key: str) -> int:
         """Return this host's index in a key's rendezvous order of hosts."""
-        own = _score(self.own.host, key)
-        return sum(_score(host, key) > own for host in self._others)
+        own = score(self.own.host, key)
+        return sum(score(host, key) > own for host in self._others)
 
     def live_position(self, key: str, now: float) -> int:
         """Return this host's index in a key's order of live hosts."""
-        own = _score(self.own.host, key)
-        return sum(_score(member.host, key) > own for member in self.live(now))
+        own = score(self.own.host, key)
+        return sum(score(member.host, key) > own for member in self.live(now))
 
     def drop_silent(self, now: float) -> None:
         """Delete hosts not heard for more than DROP_SILENT_AFTER_S.
--- a/samphirebend/gateway/ranking.py
+++ b/samphirebend/gateway/ranking.py
@@ -13,9 +13,8 @@
 
 from typing import Final
 
-import xxhash
-
 from .registry import UpstreamRegistry
+from .rendezvous import score
 from .upstreams import Upstream
 
 MAX_CACHED_RANKINGS: Final = 5000
@@ -81,8 +80,7 @@
 def rank(object_key: str, upstreams: list[Upstream]) -> list[Upstream]:
     """Rank upstreams for an object by rendezvous hashing."""
 
-    def score(upstream: Upstream) -> int:
-        text = f"{upstream.name}/{object_key}"
-        return int(xxhash.xxh3_64_intdigest(text.encode()))
+    def upstream_score(upstream: Upstream) -> int:
+        return score(upstream.name, object_key)
 
-    return sorted(upstreams, key=score, reverse=True)
+    return sorted(upstreams, key=upstream_score, reverse=True)
--- a/samphirebend/gateway/ratelimits.py
+++ b/samphirebend/gateway/ratelimits.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-import xxhash
+from .rendezvous import SCORE_LIMIT, score
 
 # Rate at which a limited upstream gets requests at the least, so that its next
 # response can lift the limit.
@@ -47,7 +47,6 @@
 MAX_REPORTS: Final = 60  # limits reported in one heartbeat
 MAX_REPORTED_AGE_S: Final = 600.0
 NO_LIMIT: Final = math.inf
-MAX_SCORE: Final = 2.0**64  # above the highest rank of a host for an upstream
 _LAYOUT: Final = struct.Struct("<Ifff")  # upstream, limit, age, demand
 
 
@@ -256,7 +255,7 @@
         part of the hosts that has a token is the part of the demand that the
         limit admits.
         """
-        spread = _score(self._host, upstream) / MAX_SCORE
+        spread = score(self._host, upstream) / SCORE_LIMIT
         if self.gossip_hosts:
             return spread
         total = sum(limited.fresh_peer_demand(now).values()) + limited.reported_demand
@@ -266,7 +265,7 @@
     def _fixed_share(self, upstream: int, limited: _LimitedUpstream) -> float:
         """Return an even part for the first hosts in the upstream's order."""
         room = int(limited.rate_per_s * BURST_S + BURST_SLACK)
-        hosts = sorted(self.gossip_hosts, key=lambda host: _score(host, upstream))
+        hosts = sorted(self.gossip_hosts, key=lambda host: score(host, upstream))
         senders = hosts[:room]
         return 1.0 / len(senders) if self._host in senders else 0.0
 
@@ -311,14 +310,10 @@
     """Return the demand of at most the first hosts in an upstream's order."""
     if len(demand) <= most:
         return demand
-    hosts = sorted(demand, key=lambda host: _score(host, upstream))
+    hosts = sorted(demand, key=lambda host: score(host, upstream))
     return {host: demand[host] for host in hosts[:most]}
 
 
-def _score(host: str, upstream: int) -> int:
-    return int(xxhash.xxh3_64_intdigest(f"{host}/{upstream}".encode()))
-
-
 def encode_reports(reports: Iterable[LimitReport]) -> bytes:
     """Return the encoded reports for a heartbeat."""
     return b"".join(
