Deliver the last responses of a stop to callers that read slowly

Cause: while a host stops, each response closes its connection. What the caller had not read 1 s later, or when the process ended, was discarded by a reset: the daemon and the gateway reset all connections as their last step. On a caller that reads after the end got 24,330 of 1,048,576 bytes from the daemon; from the gateway it got an incomplete body too.

Change: HttpServer.close_idle closes connections when their responses are sent and waits for that; the gateway waits until 0.15 s before the kill, the daemon 2 s for each of its servers.

--- a/samphirebend/drain.py
+++ b/samphirebend/drain.py
@@ -30,6 +30,8 @@
 # Added to the longest service timeout to limit the wait for requests in
 # flight.
 IN_FLIGHT_MARGIN_S: Final = 2.0
+# Maximum wait for callers to read the last responses.
+FLUSH_LIMIT_S: Final = 2.0
 
 
 class DrainLifecycle(Protocol):
@@ -140,6 +142,8 @@
             await server.close_port()
         await self._wait_for_requests()
         self._request_handler.refusing = True
+        for server in self._servers:
+            await server.close_idle(self._reactor, FLUSH_LIMIT_S)
         await self._keeper.release_all()
         self._lifecycle.finish()
         duration_s = self._reactor.seconds() - started
--- a/samphirebend/gateway/shutdown.py
+++ b/samphirebend/gateway/shutdown.py
@@ -60,7 +60,9 @@
         while self._must_wait(schedule):
             await deferLater(self._reactor, POLL_INTERVAL_S)
             self._end_unfinishable(schedule)
-        await self._flush(schedule)
+        await self._front.requests.close_port()
+        left_s = schedule.exits_by - self._reactor.seconds()
+        await self._front.requests.close_idle(self._reactor, left_s)
         logger.info(
             "shutdown finished",
             event="stop_ended",
@@ -79,14 +81,3 @@
         now = self._reactor.seconds()
         for request in list(self._gateway.active):
             request.check_stop(schedule, now)
-
-    async def _flush(self, schedule: StopSchedule) -> None:
-        """Stop listening and wait until all responses are delivered.
-
-        A reset would discard the end of a response that a caller reads slowly,
-        or the refusal of a request that arrived last.
-        """
-        requests = self._front.requests
-        await requests.close_port()
-        while requests.connections and self._reactor.seconds() < schedule.exits_by:
-            await deferLater(self._reactor, POLL_INTERVAL_S)
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -17,6 +17,7 @@
 import h11
 from loguru import logger
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.task import deferLater
 from twisted.protocols.policies import TimeoutMixin
 from twisted.python.failure import Failure
 
@@ -31,6 +32,7 @@
 DISCARD_TIMEOUT_S: Final = 1.0
 # Time after `DISCARD_TIMEOUT_S` for a caller to read the rest of the response.
 FLUSH_TIMEOUT_S: Final = 10.0
+CLOSE_POLL_INTERVAL_S: Final = 0.05  # interval between checks for open connections
 MAX_HEADER_BYTES: Final = 32 * 1024
 # Methods of pipelined requests that may start before the responses to earlier
 # requests are complete.
@@ -405,6 +407,18 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    async def close_idle(self, reactor: Any, limit_s: float) -> None:
+        """Close idle connections; wait until their responses are delivered.
+
+        A reset would discard the end of a response that a caller reads slowly,
+        or the refusal of a request that arrived last.
+        """
+        for conn in list(self.connections):
+            conn.close_if_idle()
+        ends_at = reactor.seconds() + limit_s
+        while self.connections and reactor.seconds() < ends_at:
+            await deferLater(reactor, CLOSE_POLL_INTERVAL_S)
+
     def abort_all(self) -> None:
         """Reset all connections that are still open."""
         for conn in list(self.connections):
--- a/tests/httpcalls.py
+++ b/tests/httpcalls.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import http.client
+import socket
+import subprocess
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import msgspec
@@ -49,3 +52,29 @@
         return response.status, msgspec.json.decode(response.body)
     except msgspec.DecodeError:
         return response.status, response.body
+
+
+def read_after_end(
+    address: str,
+    path: str,
+    headers: Mapping[str, str],
+    process: subprocess.Popen[bytes],
+    timeout_s: float = 20.0,
+) -> bytes:
+    """Send a GET request; read its response only after a process has ended."""
+    ip, _, port = address.rpartition(":")
+    with socket.socket() as sock:
+        # A small buffer leaves most of the response with the sender.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        sock.settimeout(timeout_s)
+        sock.connect((ip, int(port)))
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        sock.sendall(f"GET {path} HTTP/1.1\r\n{lines}\r\n".encode())
+        process.wait(timeout_s)
+        received = b""
+        try:
+            while part := sock.recv(65536):
+                received += part
+        except ConnectionResetError:
+            pass  # the caller gets what arrived before
+        return received
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -18,7 +18,7 @@
 from samphirebend.manifest import read_manifest
 from samphirebend.shards import assign_upstreams
 from tests.cluster import Cluster, Data, eventually, find_violations, http_json
-from tests.httpcalls import call
+from tests.httpcalls import call, read_after_end
 from tests.manifests import small_manifest
 
 REGIONS = {"north": 3, "middle": 2, "south": 2}
@@ -137,6 +137,19 @@
     print(f"drain time under load with a slow upload: {stop_s:.2f} s")
 
 
+def test_stop_delivers_responses_that_callers_read_slowly(cluster: Cluster) -> None:
+    """Guards against a reset that discards the end of a response."""
+    address, _expires = look_up(cluster, "north-1")
+    child = cluster.children["north-1"]
+    child.send(signal.SIGTERM)
+    path = f"/v1/services/read/big?size={len(PART)}"
+    received = read_after_end(address, path, {"Host": "h"}, child.process, STOP_S)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head[:100]
+    assert len(body) == len(PART)
+    assert child.process.returncode == 0
+
+
 def test_rolling_restart_loses_nothing(cluster: Cluster) -> None:
     """Guards against losses when all hosts are replaced one after another."""
     start_load(cluster, 50.0)
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -19,6 +19,7 @@
 import pytest
 
 from tests.gateways import GatewayProcess, caller_headers, make_config
+from tests.httpcalls import read_after_end
 from tests.processes import eventually
 from tests.standins.platform import StandInHandler, StoreStandIn, UpstreamStandIn
 
@@ -246,6 +247,29 @@
     assert [statuses[f"late-{number}"] for number in range(4)] == [200] * 4
 
 
+def test_a_caller_that_reads_slowly_gets_its_whole_response_in_a_stop(
+    system: System,
+) -> None:
+    """Guards against a reset that discards the end of a response."""
+    body = bytes(range(256)) * 4096
+
+    def answer(handler: StandInHandler) -> bool:
+        headers = {"Attempt-Id": handler.headers["Attempt-Id"], "Server-Seal": "s"}
+        handler.reply(200, body, headers)
+        return True
+
+    for upstream in system.upstreams:
+        upstream.fault = answer
+    gateway = system.gateways[0]
+    gateway.child.send(signal.SIGTERM)
+    eventually(lambda: not gateway.is_ready(), WAIT_S, "the stop has begun")
+    headers = caller_headers("slow")
+    process = gateway.child.process
+    received = read_after_end(gateway.address, "/read/big", headers, process)
+    assert received.endswith(body)
+    assert gateway.child.process.returncode == 0
+
+
 def test_rows_come_from_a_peer_while_the_store_refuses_one_host(
     system: System,
 ) -> None:
