--- a/samphirebend/platform/httpcodec.py
+++ b/samphirebend/platform/httpcodec.py
@@ -81,7 +81,8 @@
     response_info = ResponseInfo()
     request_ids = _values(head, _REQUEST_ID)
     response_info.names_request = bool(request_ids)
-    response_info.matches_request = request_ids == [request_id.encode("latin-1")]
+    own_ids = [request_id.encode("latin-1")] if request_id else []
+    response_info.matches_request = request_ids == own_ids
     response_info.from_upstream = len(_values(head, _SIGNATURE)) == 1
     response_info.not_run = _NOT_RUN in head.header or head.status in _NOT_RUN_STATUSES
     response_info.other_upstream = head.status == 421
--- a/tests/unit/gateway/test_truncated_heads.py
+++ b/tests/unit/gateway/test_truncated_heads.py
@@ -104,3 +104,15 @@
         assert status in (b"502", b"504"), (sent, response)
         assert b"server-seal" not in headers_of(response), (sent, response)
         assert b"Request-Outcome: unknown" in response, (sent, response)
+
+
+def test_a_request_without_an_id_gets_the_response_without_an_id() -> None:
+    """Guards callers that send no id against a response that is skipped."""
+    clock = Clock()
+    pool = CutPool(OWN.replace(b"Attempt-Id: r1\r\n", b""), ConnectionDone, clock)
+    gateway = make_gateway(RequestKind.IDEMPOTENT, pool, clock)
+    request = REQUESTS[RequestKind.IDEMPOTENT].replace(b"Attempt-Id: r1\r\n", b"")
+    _, transport = send_request(gateway, request)
+    pool.end_newest()
+    assert transport.value().startswith(b"HTTP/1.1 200 ")
+    assert transport.value().endswith(b"ok")
