--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+import http.client
 import signal
 import threading
 import time
@@ -31,6 +32,10 @@
 STOP_S = 2.0 + 1.0 + 12.0 + 2.0
 
 
+LATE_REQUESTS = 24
+LATE_INTERVAL_S = 0.2
+
+
 @pytest.fixture
 def cluster(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Cluster]:
     # The default timeout lets a slow upload last for the whole stop.
@@ -150,6 +155,66 @@
     assert child.process.returncode == 0
 
 
+def test_stop_answers_what_arrives_on_open_connections(cluster: Cluster) -> None:
+    """Guards against requests that are passed on late in a stop and then cut."""
+    address, _expires = look_up(cluster, "north-1")
+    keys = [write_key(cluster, address) for _ in range(LATE_REQUESTS)]
+    late = [LateRequest(address, number, key) for number, key in enumerate(keys)]
+    cluster.control_upstream("*", work_ms=1500)
+    child = cluster.children["north-1"]
+    child.send(signal.SIGTERM)
+    for request in late:
+        request.thread.start()
+    for request in late:
+        request.thread.join()
+    assert child.process.wait(STOP_S) == 0
+    ledger = cluster.ledger()
+    for request in late:
+        ran = request.ledger_id in ledger
+        assert request.status or not ran, request.ledger_id
+        assert request.outcome != "did-not-run" or not ran, request.ledger_id
+    # Sent while callers may still use the look-up answer.
+    assert {request.status for request in late if request.delay_s < 2.0} == {200}
+
+
+def write_key(cluster: Cluster, address: str) -> str:
+    """Return an idempotency key that the host of the address may execute."""
+    path = "/v1/lookup?service=write&region=north"
+    while True:
+        data = http_json("GET", cluster.entries["north-1"], path)[1]
+        if data["address"] == address:
+            return str(data["key"])
+        time.sleep(0.05)
+
+
+class LateRequest:
+    """A request on a connection that was open before the stop."""
+
+    def __init__(self, address: str, number: int, key: str) -> None:
+        self.delay_s = LATE_INTERVAL_S * number
+        self._headers = {"Ledger-Id": f"late-{number}", "Idempotency-Key": key}
+        self.ledger_id = f"late-{number}"
+        self.status = 0  # 0: no response
+        self.outcome = ""
+        self._conn = http.client.HTTPConnection(address, timeout=20)
+        self._conn.request("GET", "/v1/services/read/open")
+        assert self._conn.getresponse().read()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+
+    def _run(self) -> None:
+        time.sleep(self.delay_s)
+        path = f"/v1/services/write/{self.ledger_id}"
+        try:
+            self._conn.request("POST", path, b"x", self._headers)
+            response = self._conn.getresponse()
+            self.status = response.status
+            self.outcome = response.headers.get("request-outcome", "")
+        except (OSError, http.client.HTTPException):
+            pass  # the connection was closed
+        finally:
+            self._conn.close()
+
+
 def test_rolling_restart_loses_nothing(cluster: Cluster) -> None:
     """Guards against losses when all hosts are replaced one after another."""
     start_load(cluster, 50.0)
