Retry idempotent requests whose response is overdue

Ruled out: lost upstreams; they answer other requests meanwhile.

Change: responsewatch abandons an attempt if its upstream is silent, or has a free slot and five times the expected time has passed; the request is retried within its attempts, the shared budget and its deadline.

--- a/samphirebend/gateway/attempt.py
+++ b/samphirebend/gateway/attempt.py
@@ -142,6 +142,13 @@
                 self._conn.cancel()
             self._finish(AttemptEnd.CANCELLED)
 
+    def abandon(self) -> None:
+        """End the attempt without a response and close its connection."""
+        if self.end_kind is None:
+            if self._conn is not None:
+                self._conn.cancel()
+            self.fail(ErrorKind.UPSTREAM_TIMEOUT)
+
     @property
     def body(self) -> bytes:
         """Return the body of a buffered response."""
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -25,6 +25,7 @@
 from .dialect import CallerInfo
 from .placement import Placed, PlacementRequest, Refused
 from .requestlog import RequestLog
+from .responsewatch import ResponseWatch
 from .stopschedule import StopSchedule
 
 # Values of Retry-After. The short one is sent during the shutdown and after
@@ -175,7 +176,7 @@
                 self._give_up(choice)
                 return
             await self._attempt_at(choice, request)
-            if self._finished or not self._may_retry(route):
+            if self._finished or not self._may_retry():
                 break
         if not self._finished:
             reason = "budget-spent" if self._out_of_budget else "attempts-spent"
@@ -252,16 +253,24 @@
         # Count the request as load while it connects, so that concurrent
         # requests are placed elsewhere.
         upstream.record_sent(number, now)
+        watch: ResponseWatch | None = None
         try:
             if await attempt.connect(gateway.pool, max_idle_s):
                 # The upstream may have begun to leave in the meantime.
                 if gateway.routing_state.registry.accepts(upstream):
                     self._send(attempt, choice)
+                    if route.idempotent:
+                        deadline, may_retry = self._deadline, self._may_retry
+                        watch = ResponseWatch(
+                            gateway, attempt, choice, route, deadline, may_retry
+                        )
                 else:
                     attempt.withdraw()
                 await attempt.done
         finally:
             sent_at = upstream.record_end(number)
+            if watch is not None:
+                watch.stop()
         self._handle_end(attempt, choice, sent_at)
         gateway.log_health_change(upstream, gateway.reactor.seconds())
 
@@ -330,7 +339,7 @@
             gateway.feedback.record_failure(attempt.upstream, now)
             if route.idempotent and attempt.end_kind is AttemptEnd.ANSWERED:
                 self._last_failed = attempt
-                if self._may_retry(route):
+                if self._may_retry():
                     self._log.log_failed_attempt(attempt, choice, elapsed_s)
                     return
         else:
@@ -341,9 +350,10 @@
             )
         self._respond(attempt, choice, elapsed_s)
 
-    def _may_retry(self, route: Route) -> bool:
+    def _may_retry(self) -> bool:
         """Return whether the request may be retried."""
-        gateway = self._gateway
+        gateway, route = self._gateway, self._route
+        assert route is not None
         if self._body.streamed or self._connect_failures > MAX_CONNECT_FAILURES:
             return False
         if self._attempt_count == 0:
--- a/samphirebend/gateway/upstreams.py
+++ b/samphirebend/gateway/upstreams.py
@@ -294,8 +294,7 @@
             and self.warm_latency_s > SLOW_FACTOR * baseline.warm_latency_s
         ):
             return Health.DOUBTFUL
-        silent = self._is_silent(baseline, now)
-        return Health.DOUBTFUL if silent else Health.GOOD
+        return Health.DOUBTFUL if self.is_silent(baseline, now) else Health.GOOD
 
     def excess_failure_rate(self, baseline: ServiceBaseline, now: float) -> float:
         """Return how far the failure rate exceeds that of the service.
@@ -308,15 +307,25 @@
             return max(0.0, own_excess)
         return max(0.0, own_excess, self.peer_failure_rate - baseline.peer_failure_rate)
 
-    def _is_silent(self, baseline: ServiceBaseline, now: float) -> bool:
+    def silence_limit_s(
+        self, baseline: ServiceBaseline, objective_s: float = 0.0
+    ) -> float:
+        """Return the time without any response after which it counts as silent.
+
+        Before any response of the service, `objective_s` is the mean latency.
+        """
+        latency_s = self.mean_latency_s or baseline.mean_latency_s or objective_s
+        return max(MIN_SILENCE_S, SILENT_FACTOR * latency_s)
+
+    def is_silent(
+        self, baseline: ServiceBaseline, now: float, objective_s: float = 0.0
+    ) -> bool:
+        """Return whether requests in flight have got no response for too long."""
         if not self._sent_at:
             return False
-        limit_s = max(
-            MIN_SILENCE_S,
-            SILENT_FACTOR * (self.mean_latency_s or baseline.mean_latency_s),
-        )
         oldest_sent_at = next(iter(self._sent_at.values()))
-        return now - max(oldest_sent_at, self._last_success_at) > limit_s
+        silent_s = now - max(oldest_sent_at, self._last_success_at)
+        return silent_s > self.silence_limit_s(baseline, objective_s)
 
     def fails_at_peers(self, baseline: ServiceBaseline) -> bool:
         """Return whether other hosts see too many failures as well."""
