--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -10,4 +10,5 @@
     5047: "same cause as 5023",
     5048: "with 30 s, SIGTERM during startup ended a process with a failure status",
     1: "bug in the soak test: a process ended with the thread that had started it",
+    6117: "open: a host cut off from all upstreams makes all hosts refuse its requests",
 }
