--- a/samphirebend/gateway/responsewatch.py
+++ b/samphirebend/gateway/responsewatch.py
@@ -29,6 +29,7 @@
     __slots__ = (
         "_attempt",
         "_deadline",
+        "_gateway",
         "_may_retry",
         "_objective_s",
         "_overdue_at",
@@ -47,6 +48,7 @@
         may_retry: Callable[[], bool],
     ) -> None:
         self._attempt = attempt
+        self._gateway = gateway
         self._registry = gateway.routing_state.registry
         self._objective_s = route.objective_s
         self._deadline = deadline
@@ -71,7 +73,10 @@
         is_lost = upstream.is_silent(baseline, now, self._objective_s)
         if now >= self._overdue_at and upstream.load(now) <= upstream.slots:
             is_lost = True
-        if is_lost and not self._attempt.streaming and self._may_retry():
+        # A stopping host may refuse the retry, and the response would be lost.
+        stopping = self._gateway.stop_schedule is not None
+        may_end = not stopping and not self._attempt.streaming
+        if is_lost and may_end and self._may_retry():
             self._attempt.abandon()
         else:
             self._timer = self._reactor.callLater(RECHECK_INTERVAL_S, self._check)
--- a/tests/unit/gateway/test_responsewatch.py
+++ b/tests/unit/gateway/test_responsewatch.py
@@ -14,6 +14,7 @@
 
 from samphirebend.gateway.config import RequestKind
 from samphirebend.gateway.context import GatewayContext
+from samphirebend.gateway.stopschedule import StopSchedule
 
 from .builders import fill
 from .test_forward import COMPLETE_RESPONSE, REQUESTS, Pool, make_gateway
@@ -114,3 +115,15 @@
     start(gateway, RequestKind.IDEMPOTENT)
     advance(clock, 2.0)
     assert len(pool.sent) == 1 + retries_left
+
+
+def test_stopping_host_waits_for_the_response() -> None:
+    """Guards a request in flight against an error when its retry is refused."""
+    gateway, pool, clock = make_silent(RequestKind.IDEMPOTENT)
+    transport = start(gateway, RequestKind.IDEMPOTENT)
+    gateway.stop_schedule = StopSchedule(clock.seconds(), 6.0)
+    advance(clock, 3.0)
+    assert len(pool.sent) == 1
+    ((conn, _, _),) = pool.open
+    conn.dataReceived(COMPLETE_RESPONSE)
+    assert transport.value().startswith(b"HTTP/1.1 200 ")
