--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
     Target,
     make_config,
     new_id,
-    read_message,
+    read_within,
     request_head,
     run_case,
     sealed,
@@ -44,7 +44,7 @@
     try:
         reader, writer = await asyncio.open_connection(gateway.ip, gateway.front)
         writer.write(request_head(method, path, request_id, 4000, len(body)) + body)
-        answer = await asyncio.wait_for(read_message(reader), 4.5)
+        answer = await read_within(reader, 4.5)
         result = str(answer.status)
         writer.close()
     except (OSError, asyncio.IncompleteReadError, TimeoutError) as exc:
--- a/review/harness.py
+++ b/review/harness.py
@@ -31,6 +31,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses of a case
 HOST_NAME = "h.example"
+RUN_LIMIT_S = 112.0
 
 PR_SET_PDEATHSIG = 1  # constant from <sys/prctl.h>
 
@@ -100,6 +101,12 @@
     return message
 
 
+async def read_within(reader: asyncio.StreamReader, limit_s: float) -> Message:
+    """Read a message with its body; raise TimeoutError if it takes too long."""
+    async with asyncio.timeout(limit_s):
+        return await read_message(reader)
+
+
 def response(status: int, body: bytes, **headers: str) -> bytes:
     """Encode a response; underscores in header names become hyphens."""
     lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
@@ -236,7 +243,8 @@
                 rows.sort(key=lambda row: row["ver"])
                 return {"rows": rows, "ver": self.version}
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), left_s)
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
 
 
 class Arrival:
@@ -478,7 +486,7 @@
     reader, writer = await asyncio.open_connection(ip, port)
     try:
         writer.write(first_line + b"Host: a\r\nConnection: close\r\n\r\n")
-        return await asyncio.wait_for(read_message(reader), timeout_s)
+        return await read_within(reader, timeout_s)
     finally:
         writer.close()
 
@@ -601,7 +609,8 @@
             record.write("case-started", trouble=case.trouble)
             try:
                 await case.store.start()
-                held = await asyncio.wait_for(body(case), 112)
+                async with asyncio.timeout(RUN_LIMIT_S):
+                    held = await body(case)
             finally:
                 case.end()
             return HELD if held else BROKEN
