--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,12 +101,6 @@
     sender.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
 
-    for target in [*old, *new]:
-        for arrival in target.arrivals:
-            after_s = round(arrival.at - draining_at, 3)
-            case.record.write(
-                "ran", id=arrival.request_id, target=target.name, after_draining=after_s
-            )
     late = [
         arrival
         for target in old
--- a/review/harness.py
+++ b/review/harness.py
@@ -53,6 +53,10 @@
         self._file.write(f"{at:8.3f} {event} {text}\n")
         self._file.flush()
 
+    def since_start(self, at: float) -> float:
+        """Return a time of the monotonic clock on the clock of the record."""
+        return at - self._start
+
     def close(self) -> None:
         """Close the file."""
         self._file.close()
@@ -590,6 +594,17 @@
         gateway.start()
         return gateway
 
+    def record_runs(self) -> None:
+        """Record which target ran which request."""
+        for target in self.targets:
+            for arrival in target.arrivals:
+                self.record.write(
+                    "ran",
+                    id=arrival.request_id,
+                    target=target.name,
+                    at=round(self.record.since_start(arrival.at), 3),
+                )
+
     def end(self) -> None:
         """End all processes and stand-ins."""
         for gateway in self.gateways:
@@ -612,6 +627,7 @@
                 async with asyncio.timeout(RUN_LIMIT_S):
                     held = await body(case)
             finally:
+                case.record_runs()
                 case.end()
             return HELD if held else BROKEN
 
