--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -582,10 +582,17 @@
 
 
 def read_answer(sock: socket.socket, ends_at: float) -> Answer:
-    answer, data = Answer(), b""
+    answer = Answer()
+    read_next(sock, answer, bytearray(), ends_at)
+    return answer
+
+
+def read_next(
+    sock: socket.socket, answer: Answer, data: bytearray, ends_at: float
+) -> None:
+    """Read an answer; `data` has the bytes read before, and those behind it."""
 
     def more() -> bool:
-        nonlocal data
         left_s = ends_at - time.monotonic()
         if left_s <= 0:
             answer.timed_out = True
@@ -598,49 +605,47 @@
             return False
         except OSError:
             return False
-        data += part
+        data.extend(part)
         return bool(part)
 
     while b"\r\n\r\n" not in data:
         if not more():
-            return answer
-    head, _, data = data.partition(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
+            return
+    head_bytes = data.index(b"\r\n\r\n")
+    lines = data[:head_bytes].decode("latin-1").split("\r\n")
+    del data[: head_bytes + 4]
     answer.status = int(lines[0].split()[1])
     for line in lines[1:]:
         name, _, value = line.partition(":")
         answer.headers[name.strip().lower()] = value.strip()
     if "chunked" in answer.headers.get("transfer-encoding", ""):
-        _read_chunks(answer, lambda: data, more)
-        return answer
+        _read_chunks(answer, data, more)
+        return
     length = int(answer.headers.get("content-length", "0"))
     while len(data) < length:
         if not more():
-            answer.body = data
-            return answer
-    answer.body, answer.complete = data[:length], True
-    return answer
+            answer.body = bytes(data)
+            return
+    answer.body, answer.complete = bytes(data[:length]), True
+    del data[:length]
 
 
-def _read_chunks(
-    answer: Answer, peek: Callable[[], bytes], more: Callable[[], bool]
-) -> None:
-    at = 0
+def _read_chunks(answer: Answer, data: bytearray, more: Callable[[], bool]) -> None:
     while True:
-        while b"\r\n" not in peek()[at:]:
+        while b"\r\n" not in data:
             if not more():
                 return
-        size_text, _, _ = peek()[at:].partition(b"\r\n")
-        size = int(size_text.split(b";")[0], 16)
-        begin = at + len(size_text) + 2
-        while len(peek()) < begin + size + 2:
+        line_bytes = data.index(b"\r\n")
+        size = int(data[:line_bytes].split(b";")[0], 16)
+        begin = line_bytes + 2
+        while len(data) < begin + size + 2:
             if not more():
                 return
+        answer.body += bytes(data[begin : begin + size])
+        del data[: begin + size + 2]
         if not size:
             answer.complete = True
             return
-        answer.body += peek()[begin : begin + size]
-        at = begin + size + 2
 
 
 def route(
