Remove hosts that have left for good from the division of quotas

Cause: rows of the host list were never deleted, so that a process that starts counts all hosts that ever existed as holders of shares and as voters. Without a restart, a loss of more than half ended the same way, as only more than half of all names could remove a name. What was kept by the names of hosts that had gone never ended either: after 64 replacements a heartbeat had no room for a new silence.

Ruled out: quota_limited in the log shows has_share false and hosts=7; with REMOVAL=0 all is served, so neither tokens nor configuration are at fault.

A host that stops says so in its row, and the row is deleted 7 s later; rows of lost hosts are deleted when their hosts have certainly given up their shares; new hosts have no vote until more than half of the voters hear them; everything kept by a host's name goes with its row, and the host count of the retry budget, of cold upstreams and of connections follows the registrations. Changes to the list are conditional on the version that was read.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -168,7 +168,11 @@
         self.front.table_ages_s = self._table_ages_s
         self.front.add_listener(cfg.directory, callers=False)
         self.host_list = HostList(
-            store, self.members, self.routing_state.invalid_rows, reactor
+            store,
+            self.members,
+            self.routing_state.invalid_rows,
+            reactor,
+            quotas.hosts,
         )
         self.graceful_shutdown = GracefulShutdown(
             self.gateway,
@@ -178,6 +182,8 @@
             bounds.stop_grace_s,
             reactor,
         )
+        self.graceful_shutdown.on_refusing = self._begin_mark_stopped
+        self._marked_stopped: Deferred[None] | None = None
         self._set_memory_limits(cfg)
         self.metrics.before_render(self._set_metrics)
         self.services.register("follower", self.follower)
@@ -188,16 +194,16 @@
         self.follower.on_change = self._update_readiness
         self.follower.on_probe = self.peers.announce_ages
         self.follower.probe_rank = self._probe_rank
-        self.follower.on_new_era = self._write_host_again
+        self.follower.on_new_era = self.host_list.register_again
 
     def _set_memory_limits(self, cfg: GatewaySettings) -> None:
         body_bytes = int(cfg.memory_bytes * BODY_FRACTION)
         self.gateway.body_budget.limit_bytes = body_bytes
         self.front.max_held_bytes = int(cfg.memory_bytes * CONNECTIONS_FRACTION)
 
-    def _write_host_again(self) -> None:
-        done = Deferred.fromCoroutine(self.host_list.join(lambda: self._stopping))
-        done.addErrback(_log_bug)
+    def _begin_mark_stopped(self) -> None:
+        marking = Deferred.fromCoroutine(self.host_list.mark_stopped())
+        self._marked_stopped = marking.addErrback(_log_bug)
 
     def _probe_rank(self, table: str) -> int:
         return self.members.live_position(table, time.monotonic())
@@ -236,6 +242,8 @@
         """Shut down gracefully, then stop all services."""
         self._stopping = True
         await self.graceful_shutdown.run()
+        if self._marked_stopped is not None:
+            await self._marked_stopped
         await self.services.stop()
         self.pool.close_all()
 
@@ -282,6 +290,7 @@
         self.routing_state.apply_held(now)
         self._update_rate_limits()
         self.quota_gate.update(self.members, now)
+        self.host_list.check()
         self.front.limit_held_bytes()
         self._report_dropped_lines(now)
         for name in self.registry.drop_removed(now - DROP_REMOVED_AFTER_S):
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 from typing import Final
 
 from ..addresses import Address
@@ -20,11 +21,16 @@
 GOSSIP_MIN_HOSTS: Final = 100
 # Liveness timeout with gossip, where the state of most hosts is relayed.
 GOSSIP_LIVENESS_TIMEOUT_S: Final = 4.0
-# Time without a heartbeat after which a host is deleted.
+# Time without a heartbeat after which a host is deleted, if it is not registered.
 DROP_SILENT_AFTER_S: Final = 60.0
+# The same if the list of hosts has been read since the last heartbeat.
+DROP_UNREGISTERED_AFTER_S: Final = 5.0
 # Host count assumed until the list of hosts is read, so that this host's
 # shares of fleet-wide limits are not too large.
 ASSUMED_HOSTS: Final = 8
+# Factor on the host count at a host that others may have removed. Its part of the
+# limits is then within the margin of `budgets`.
+REMOVED_FACTOR: Final = 2
 MAX_ADDRESSES: Final = 64  # addresses in the answer to one look-up
 
 
@@ -75,9 +81,12 @@
     __slots__ = (
         "_by_fingerprint",
         "_by_region",
+        "_listed_at",
         "_others",
+        "_registered",
         "_rng",
         "host_list_read",
+        "is_removed",
         "own",
     )
 
@@ -90,6 +99,15 @@
         self._by_region: dict[str, dict[str, Member]] = {}
         # Whether the list of hosts has been read from the store.
         self.host_list_read = False
+        # Hosts in that list, and the time as of which it is known.
+        self._registered: Collection[str] = frozenset()
+        self._listed_at = 0.0
+        # Whether other hosts may have divided this host's share of the limits.
+        self.is_removed = False
+
+    def set_registered(self, hosts: Collection[str], as_of: float) -> None:
+        """Record which hosts the list of hosts has as of a time."""
+        self._registered, self._listed_at = hosts, as_of
 
     def add_listed(self, member: Member) -> None:
         """Add a host from the host list; it is not live before a heartbeat."""
@@ -174,7 +192,10 @@
     def count(self) -> int:
         """Return the number of hosts that share the fleet-wide limits."""
         known = len(self._others) + 1
-        return known if self.host_list_read else max(known, ASSUMED_HOSTS)
+        if not self.host_list_read:
+            return max(known, ASSUMED_HOSTS)
+        # Hosts that share what this host had use the limits almost fully.
+        return REMOVED_FACTOR * known if self.is_removed else known
 
     def position(self, key: str) -> int:
         """Return this host's index in a key's rendezvous order of hosts."""
@@ -196,14 +217,22 @@
         return max([self.own, *hosts], key=lambda member: score(member.host, zone))
 
     def drop_silent(self, now: float) -> None:
-        """Delete hosts not heard for more than DROP_SILENT_AFTER_S.
+        """Delete silent hosts that are not registered, and so have no shares.
 
-        Hosts that have never sent one are kept.
+        Registered hosts are kept, as they may only be cut off.
         """
         for host, member in list(self._others.items()):
-            if member.heard_at and now - member.heard_at > DROP_SILENT_AFTER_S:
+            if host not in self._registered and self._may_drop(member, now):
                 self._drop(host)
 
+    def _may_drop(self, member: Member, now: float) -> bool:
+        silent_s = now - member.heard_at
+        if self.host_list_read and self._listed_at > member.heard_at:
+            return silent_s > DROP_UNREGISTERED_AFTER_S
+        if self.host_list_read or not member.heard_at:
+            return False  # it may have registered since the list was read
+        return silent_s > DROP_SILENT_AFTER_S
+
     def addresses(
         self, region: str, home_regions: frozenset[str], now: float
     ) -> list[Address]:
--- a/samphirebend/gateway/quotagate.py
+++ b/samphirebend/gateway/quotagate.py
@@ -96,6 +96,7 @@
             member.host: member.heard_at + difference_s if member.heard_at else 0.0
             for member in others
         }
+        self.quotas.forget_absent(heard_at.keys())
         hosts = self.quotas.hosts
         hosts.divides_by_contact = len(others) < GOSSIP_MIN_HOSTS
         hosts.record_capacity(members.own.host, members.own.capacity_per_s)
@@ -103,6 +104,7 @@
             if member.heard_at:
                 hosts.record_capacity(member.host, member.capacity_per_s)
         hosts.update(heard_at, members.host_list_read, now + difference_s)
+        members.is_removed = hosts.is_removed(now + difference_s)
         self._log_changes(now + difference_s)
 
     def _log_changes(self, now: float) -> None:
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -1,52 +1,85 @@
-"""Hosts among which quotas are divided, and whether this host has a share.
+"""Hosts that have a share of the fleet-wide limits, and whether this host has one.
 
-Each host has a share of every quota, in contact or not, so a share may pass to
+Each host has a share of every limit, in contact or not, so a share may pass to
 other hosts only when its owner has certainly ceased to use it. Hosts tell each
-other which hosts are silent. A host that more than half of all hosts report as
-silent for `REMOVE_S` loses its share. A host that fewer than half of all hosts
-confirm to hear gives up its share well before that.
+other which hosts are silent, and `contact` decides when a host gives up its share.
+A host loses it if more than half of the voters report it as silent for `REMOVE_S`,
+or when its registration is deleted.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Mapping
+from enum import Enum, unique
 from typing import Final
 
+from .contact import (
+    KEEP_SHARE_S,
+    REMOVE_BY_LEARNER_S,
+    REMOVE_DISTANT_BY_LEARNER_S,
+    REMOVE_DISTANT_S,
+    REMOVE_S,
+    Contact,
+)
 from .observations import fingerprint
+from .registrations import Registration, Registrations
 
 # Time without a heartbeat after which a host is reported as silent. It is above
 # the 1.5 s in which a host sends three heartbeats.
 SILENT_S: Final = 2.0
-# Time for which a host keeps its share without half of the hosts. Cuts of a few
-# seconds cause no refusals.
-KEEP_SHARE_S: Final = 20.0
-# Silence after which a host loses its share. It exceeds KEEP_SHARE_S by the time
-# for which the requests of that host count, and the age of reports.
-REMOVE_S: Final = 35.0
+# The same where most heartbeats are relayed.
+GOSSIP_SILENT_S: Final = 10.0
+# Factor on REMOVE_S there: a host hears late from others that they miss it.
+GOSSIP_REMOVE_FACTOR: Final = 4.0
 # Age at which a process begins to use the tokens that are released to it. Hosts
 # that had no share reserved for it have said so by then.
 RELEASE_AFTER_S: Final = 1.0
+# Time between two updates from which this host takes itself for suspended, and
+# what it has not heard in that time for no sign of silence.
+SUSPENDED_S: Final = 5.0
+# Time after the last silence for which reports are still sent.
+REPORT_CALM_S: Final = 10.0
+# Highest age in a report.
+MAX_REPORTED_S: Final = 255
+
+
+@unique
+class Removal(Enum):
+    """Why a registration may be deleted."""
+
+    STOPPED = "stopped"  # the host has stated that it stops, and did not return
+    OUTVOTED = "outvoted"  # more than half of the voters have removed it
+    NOT_RENEWED = "not-renewed"  # it is silent and does not renew its registration
 
 
 class QuotaHosts:
-    """Tracks the hosts that have a share of the quotas."""
+    """Tracks the hosts that have a share of the fleet-wide limits."""
 
     __slots__ = (
         "_added_at",
+        "_confirmed_since",
+        "_fingerprints",
         "_heard_at",
         "_host",
         "_is_known",
         "_is_released",
         "_listed_at",
-        "_minority_since",
         "_silences",
+        "_silent_at",
+        "_silent_since",
         "_start_delay_s",
         "_updated_at",
         "_usable_from",
+        "_was_kept",
         "_weights",
+        "awaits_list",
+        "contact",
         "divides_by_contact",
+        "is_list_outdated",
+        "is_stopped",
         "names",
+        "registrations",
         "version",
     )
 
@@ -57,20 +90,35 @@
         self._start_delay_s = start_delay_s
         self._usable_from = math.inf
         self._updated_at = -math.inf
+        self._was_kept = False  # whether the share was kept at the last update
         self._is_known = False  # whether the list of all hosts was read
         self._listed_at = math.inf  # time at which it was read
         # Whether tokens of the share are released before `_usable_from`.
         self._is_released = True
         # Hosts that had no share reserved, and when they were added to `names`.
         self._added_at: dict[str, float] = {}
-        self._minority_since: float | None = None
-        self._heard_at: dict[str, float] = {}  # of other hosts
+        self._heard_at: dict[str, float] = {}  # heartbeats of other hosts
+        # Times from which the silence of other hosts is counted: the last heartbeat,
+        # or later, when this process learned of the host or was suspended.
+        self._silent_since: dict[str, float] = {}
+        self._fingerprints: dict[str, int] = {host: fingerprint(host)}
+        # Since when other hosts have been in contact without a break.
+        self._confirmed_since: dict[str, float] = {}
         # Silent hosts that a host has reported, by their fingerprints.
         self._silences: dict[str, Mapping[int, float]] = {}
+        self._silent_at = -math.inf  # when some host was silent last
         # Weights of the hosts whose capacity is known.
         self._weights: dict[str, float] = {}
         self.names: set[str] = {host}  # hosts with a share
         self.version = 0  # changes with `names`
+        self.contact = Contact()
+        self.registrations = Registrations(host)
+        # Whether another host has told of a newer list of hosts.
+        self.is_list_outdated = False
+        # Whether the list has to be read before this host may use its share again.
+        self.awaits_list = False
+        # Whether this host has given up its share for good.
+        self.is_stopped = False
         # Whether shares may be lost. Not so in fleets in which a heartbeat
         # reaches only some of the hosts.
         self.divides_by_contact = True
@@ -80,11 +128,13 @@
 
         `complete` tells whether the list of all hosts has been read.
         """
+        self._forget_absent(heard_at)
+        if now - self._updated_at >= SUSPENDED_S:
+            self._restart_observation(now)
         for host, at in heard_at.items():
             if host != self._host:
-                known_at = self._heard_at.get(host, now)
-                self._heard_at[host] = max(known_at, at) if at else known_at
-                if host not in self.names and now - self._heard_at[host] < SILENT_S:
+                self._record_heard(host, at, now)
+                if host not in self.names and not self.is_silent(host, now):
                     self._set_names(self.names | {host})
                     if self._is_known:
                         self._added_at[host] = now
@@ -96,8 +146,16 @@
             self._usable_from = now + self._start_delay_s
         elif complete and was_suspended:
             self._restart(now)
-        self._check_contact(now)
-        self._remove_silent(now)
+        if self._is_known:
+            self._check_contact(now)
+            self._remove_silent(now)
+
+    def _record_heard(self, host: str, at: float, now: float) -> None:
+        """Record when a host was heard last; zero stands for never."""
+        since = self._silent_since.get(host, now)
+        self._silent_since[host] = max(since, at) if at else since
+        if at:
+            self._heard_at[host] = max(self._heard_at.get(host, at), at)
 
     def record_capacity(self, host: str, capacity_per_s: float) -> None:
         """Record how many requests a host sustains, as it says at first.
@@ -119,17 +177,24 @@
         largest = max(self._weights.values(), default=1.0)
         return {host: self._weights.get(host, largest) for host in self.names}
 
+    # Reports.
+
     def record_silences(self, host: str, silences: Mapping[int, float]) -> None:
         """Record for how long other hosts have been silent, as a host reports.
 
         Zero stands for a host that had no share reserved until lately.
         """
         if silences and 0 in silences.values():
-            if silences.get(fingerprint(self._host)) == 0:
+            if silences.get(self._fingerprint(self._host)) == 0:
                 self._is_released = False
             silences = {number: age_s for number, age_s in silences.items() if age_s}
         self._silences[host] = silences
 
+    def record_digest(self, digest: int) -> None:
+        """Record which list of hosts another host has."""
+        if self.registrations.is_newer(digest):
+            self.is_list_outdated = True
+
     def reported_by(self, host: str) -> Mapping[int, float]:
         """Return the silent hosts that a host has reported, by fingerprint."""
         return self._silences.get(host, {})
@@ -137,26 +202,44 @@
     def silences(self, now: float) -> dict[int, float]:
         """Return the time since silent hosts were heard, by fingerprint."""
         return {
-            fingerprint(host): now - at
-            for host, at in self._heard_at.items()
-            if now - at >= SILENT_S
+            self._fingerprint(host): now - since
+            for host, since in self._silent_since.items()
+            if now - since >= self._silent_s
         }
 
     def to_report(self, now: float) -> dict[int, float]:
-        """Return what `record_silences` of other hosts expects."""
+        """Return what `record_silences` of other hosts expects.
+
+        A host that reports itself asks not to be counted in a majority.
+        """
         added = {
-            fingerprint(host): 0.0
+            self._fingerprint(host): 0.0
             for host, at in self._added_at.items()
             if now - at < self._start_delay_s
         }
+        if self.contact.is_uncertain(now):
+            added[self._fingerprint(self._host)] = MAX_REPORTED_S
         return added | self.silences(now)
 
+    def has_news(self, now: float) -> bool:
+        """Return whether other hosts need this host's reports."""
+        return now - self._silent_at < REPORT_CALM_S
+
+    # Shares.
+
     def has_share(self, now: float) -> bool:
         """Return whether this host may use its share."""
-        if now < self._usable_from or now - self._updated_at >= KEEP_SHARE_S:
+        if self.is_stopped or self.awaits_list or now < self._usable_from:
+            return False
+        if now - self._updated_at >= KEEP_SHARE_S:
             return False
-        since = self._minority_since
-        return since is None or now - since < KEEP_SHARE_S
+        return self._was_kept and self.contact.keeps_share(now)
+
+    def is_removed(self, now: float) -> bool:
+        """Return whether others may have divided this host's share."""
+        if now - self._listed_at < KEEP_SHARE_S:
+            return False  # it has just started
+        return not self.contact.keeps_share(now)
 
     def release_age_s(self, now: float) -> float | None:
         """Return the age by which tokens are released to a process that started.
@@ -164,7 +247,12 @@
         None stands for a process that has its share, or no part of it.
         """
         age_s = now - self._listed_at
-        if not self._is_released or now >= self._usable_from:
+        if not self._is_released or self.is_stopped or now >= self._usable_from:
+            return None
+        own = self.registrations.own
+        if self.registrations.is_read and (own is None or not own.is_voter):
+            return None  # others may not know it yet
+        if not self.contact.keeps_share(now):
             return None
         # At least half of the hosts, and one other, have had the chance to say
         # that no share was reserved.
@@ -177,37 +265,202 @@
 
     def heard(self, now: float) -> list[str]:
         """Return the other hosts that are in contact."""
-        return [host for host, at in self._heard_at.items() if now - at < SILENT_S]
+        silent_s = self._silent_s
+        return [host for host, at in self._heard_at.items() if now - at < silent_s]
+
+    def is_silent(self, host: str, now: float) -> bool:
+        """Return whether another host is not in contact."""
+        return now - self._silent_since.get(host, -math.inf) >= self._silent_s
+
+    # Registrations.
+
+    def is_promotable(self) -> bool:
+        """Return whether this host may become a voter."""
+        own, voters = self.registrations.own, self.registrations.voters
+        if own is None or own.is_voter:
+            return False
+        now = self._updated_at
+        return 2 * self._count_support(self._confirming(now), voters) > len(voters)
+
+    def removable(self, now: float) -> dict[str, Removal]:
+        """Return the hosts whose registrations this host may delete, and why."""
+        if self.registrations.own is None:
+            return {}
+        found = {}
+        for row in self.registrations.others():
+            removal = None
+            if not row.is_lost and self.is_silent(row.host, now):
+                removal = self._find_removal(row, now)
+            if removal is not None:
+                found[row.host] = removal
+        return found
+
+    def _find_removal(self, row: Registration, now: float) -> Removal | None:
+        if row.is_stopped and now - row.stopped_since >= self._start_delay_s:
+            return Removal.STOPPED
+        silent_s = now - self._silent_since.get(row.host, now)
+        if row.host not in self.names and silent_s >= REMOVE_S:
+            return Removal.OUTVOTED
+        remove_s = self._remove_after_s(row)
+        is_due = min(silent_s, now - row.unchanged_since) >= remove_s
+        if is_due and self._all_miss(row.host, remove_s, now):
+            return Removal.NOT_RENEWED
+        return None
+
+    def _remove_after_s(self, row: Registration) -> float:
+        """Return the silence after which this host may remove another."""
+        own = self.registrations.own
+        is_voter = own is not None and own.is_voter
+        if self._is_neighbour(row.host):
+            remove_s = REMOVE_S if is_voter else REMOVE_BY_LEARNER_S
+        else:
+            remove_s = REMOVE_DISTANT_S if is_voter else REMOVE_DISTANT_BY_LEARNER_S
+        return remove_s if self.divides_by_contact else remove_s * GOSSIP_REMOVE_FACTOR
+
+    def _all_miss(self, host: str, least_s: float, now: float) -> bool:
+        """Return whether all hosts in contact report a host as silent."""
+        if not self.divides_by_contact:
+            return True  # the relayed heartbeats of the host would reach this one
+        number = self._fingerprint(host)
+        least_s = min(least_s, MAX_REPORTED_S)
+        heard = self.heard(now)
+        return all(self.reported_by(h).get(number, 0.0) >= least_s for h in heard)
+
+    def confirm_list(self, now: float) -> None:
+        """Record that this host has read the list, which has its registration."""
+        if self.awaits_list:
+            self.awaits_list = False
+            self._usable_from = now + self._start_delay_s
+
+    # Contact.
+
+    @property
+    def _silent_s(self) -> float:
+        return SILENT_S if self.divides_by_contact else GOSSIP_SILENT_S
+
+    def _fingerprint(self, host: str) -> int:
+        number = self._fingerprints.get(host)
+        if number is None:
+            number = self._fingerprints[host] = fingerprint(host)
+        return number
+
+    def _forget_absent(self, heard_at: Mapping[str, float]) -> None:
+        """Forget hosts that are not members any more."""
+        absent = self._silent_since.keys() - heard_at.keys()
+        if not absent:
+            return
+        for host in absent:
+            self._heard_at.pop(host, None)
+            self._silent_since.pop(host, None)
+            self._silences.pop(host, None)
+            self._weights.pop(host, None)
+            self._added_at.pop(host, None)
+            self._fingerprints.pop(host, None)
+        self._set_names(self.names - absent)
 
     def _restart(self, now: float) -> None:
-        """Begin without a share, which others may have used in the meantime."""
+        """Begin without a share, which others may have used in the meantime.
+
+        Others may also have deleted the registration of this host, and hosts may
+        have joined that do not know it.
+        """
         self._is_released = False
         self._usable_from = now + self._start_delay_s
+        self.awaits_list = self.registrations.is_read
+
+    def _restart_observation(self, now: float) -> None:
+        for host in self._silent_since:
+            self._silent_since[host] = now
+        self.registrations.restart_observation(now)
+
+    def _voters(self) -> set[str]:
+        """Return the hosts with a share that have a vote."""
+        if not self.registrations.is_read:
+            return self.names
+        return (self.names & self.registrations.voters) or self.names
+
+    def _confirming(self, now: float) -> set[str]:
+        """Return the hosts in contact that also hear this host."""
+        own = self._fingerprint(self._host)
+        return {host for host in self.heard(now) if own not in self.reported_by(host)}
+
+    def _is_certain(self, host: str) -> bool:
+        """Return whether a host may count in a majority."""
+        reported = self.reported_by(host)
+        return not reported or self._fingerprint(host) not in reported
+
+    def _count_support(self, hosts: set[str], voters: frozenset[str] | set[str]) -> int:
+        """Count the voters among some hosts and this one."""
+        return len(hosts & voters) + (self._host in voters)
 
     def _check_contact(self, now: float) -> None:
-        own = fingerprint(self._host)
-        confirming = 1 + sum(
-            host in self.names and own not in self.reported_by(host)
-            for host in self.heard(now)
+        confirming, voters = self._confirming(now), self._voters()
+        self._confirmed_since = {
+            host: self._confirmed_since.get(host, now) for host in confirming
+        }
+        certain = set(filter(self._is_certain, confirming))
+        is_meshed = self.divides_by_contact
+        majority = 2 * self._count_support(certain, voters) >= len(voters)
+        reachable = 2 * self._count_support(confirming, voters) >= len(voters)
+        missing = self.registrations.hosts - confirming - {self._host}
+        if not is_meshed:
+            # A heartbeat of each host may take a minute to arrive for the first time.
+            missing &= self._heard_at.keys()
+        kept = self._was_kept and self.contact.keeps_share(now)
+        self.contact.update(
+            majority or not is_meshed,
+            reachable or not is_meshed,
+            not any(map(self._is_neighbour, missing)),
+            not missing,
+            now,
         )
-        if not self.divides_by_contact or 2 * confirming >= len(self.names):
-            since = self._minority_since
-            if since is not None and now - since >= KEEP_SHARE_S:
+        self._was_kept = self.contact.keeps_share(now)
+        if self._was_kept and not kept:
+            self._handle_contact(now)
+
+    def _handle_contact(self, now: float) -> None:
+        """Handle contact after a time without it, or for the first time."""
+        own = self.registrations.own
+        if now >= self._usable_from:
+            if not self._is_known_to_all(now):
                 self._restart(now)
-            self._minority_since = None
-        elif self._minority_since is None:
-            self._minority_since = now
+        elif own is not None and not own.is_voter:
+            # Others had no share reserved for this host until they heard it.
+            self._usable_from = now + self._start_delay_s
+
+    def _is_known_to_all(self, now: float) -> bool:
+        """Return whether all hosts with a share have reserved that of this host.
+
+        So it is when others were removed that this host was waiting for.
+        """
+        if self.is_list_outdated or self._host not in self.registrations.hosts:
+            return False
+        return all(
+            now - self._confirmed_since.get(host, now) >= self._start_delay_s
+            for host in self.names - {self._host}
+        )
+
+    def _is_neighbour(self, host: str) -> bool:
+        """Return whether a host is registered in this host's region."""
+        row = self.registrations.get(host)
+        return row is not None and row.region == self.registrations.own_region
 
     def _remove_silent(self, now: float) -> None:
-        if not self.divides_by_contact:
-            return
         own = self.silences(now)
-        reports = [own, *map(self.reported_by, self.heard(now))]
+        if own:
+            self._silent_at = now
+        if not self.divides_by_contact or max(own.values(), default=0.0) < REMOVE_S:
+            return
+        voters = self._voters()
+        heard = [host for host in self.heard(now) if host in voters]
+        reports = [self.reported_by(host) for host in filter(self._is_certain, heard)]
+        if self._host in voters and not self.contact.is_uncertain(now):
+            reports.append(own)
         silent = {
             host
             for host in self.names
-            if own.get(fingerprint(host), 0.0) >= REMOVE_S
-            and 2 * _votes(fingerprint(host), reports) > len(self.names)
+            if own.get(self._fingerprint(host), 0.0) >= REMOVE_S
+            and 2 * _votes(self._fingerprint(host), reports) > len(voters)
         }
         if silent:
             self._set_names(self.names - silent)
--- a/samphirebend/gateway/quotareports.py
+++ b/samphirebend/gateway/quotareports.py
@@ -12,7 +12,8 @@
 _TIME_RANGE_MS: Final = 2**32
 _RATE_STEP_PER_S: Final = 1 / 16
 _LIFETIME_STEP_S: Final = 0.05
-_HEAD: Final = struct.Struct("<IBBB")  # time of sending, counts of the parts
+# Time of sending, digest of the list of hosts, counts of the parts.
+_HEAD: Final = struct.Struct("<IIBBB")
 _SILENCE: Final = struct.Struct("<IB")  # host, seconds; see `QuotaHosts`
 _WANT: Final = struct.Struct("<IH")  # customer, rate
 _GIFT: Final = struct.Struct("<IIHB")  # customer, host, tokens, lifetime
@@ -35,10 +36,12 @@
 class QuotaReport:
     """What one heartbeat says about quotas."""
 
-    __slots__ = ("gifts", "sent_at", "silences", "wants")
+    __slots__ = ("digest", "gifts", "sent_at", "silences", "wants")
 
     def __init__(self, sent_at: float) -> None:
         self.sent_at = sent_at  # by the sender's clock, modulo 2^32 ms
+        # Of the list of hosts that the sender knows; 0: it knows none.
+        self.digest = 0
         self.silences: Mapping[int, float] = {}  # seconds, by host
         # Rate of tokens that the sender needs in addition, by customer.
         self.wants: Mapping[int, float] = {}
@@ -51,7 +54,8 @@
     wants = list(report.wants.items())[:MAX_WANTS]
     gifts = report.gifts[:MAX_GIFTS]
     sent_ms = round(report.sent_at * 1000) % _TIME_RANGE_MS
-    parts = [_HEAD.pack(sent_ms, len(silences), len(wants), len(gifts))]
+    counts = len(silences), len(wants), len(gifts)
+    parts = [_HEAD.pack(sent_ms, report.digest, *counts)]
     parts += [_SILENCE.pack(host, min(255, int(age_s))) for host, age_s in silences]
     parts += [
         _WANT.pack(customer, min(65535, round(per_s / _RATE_STEP_PER_S)))
@@ -73,12 +77,13 @@
     """Return the report of a heartbeat, or None if it is absent or damaged."""
     if len(data) < _HEAD.size:
         return None
-    sent_ms, silence_count, want_count, gift_count = _HEAD.unpack_from(data)
+    sent_ms, digest, silence_count, want_count, gift_count = _HEAD.unpack_from(data)
     wants_at = _HEAD.size + silence_count * _SILENCE.size
     gifts_at = wants_at + want_count * _WANT.size
     if len(data) != gifts_at + gift_count * _GIFT.size:
         return None
     report = QuotaReport(sent_ms / 1000)
+    report.digest = digest
     if silence_count:
         report.silences = dict(_SILENCE.iter_unpack(data[_HEAD.size : wants_at]))
     if not want_count and not gift_count:
--- a/samphirebend/gateway/quotas.py
+++ b/samphirebend/gateway/quotas.py
@@ -16,7 +16,7 @@
 import random
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 from .observations import fingerprint
@@ -342,9 +342,10 @@
 
         Tokens that it transfers are charged at once.
         """
-        if not self._limits:
+        if not self._limits and not self.hosts.has_news(now):
             return b""
         report = QuotaReport(now)
+        report.digest = self.hosts.registrations.digest
         report.silences = self.hosts.to_report(now)
         since = self._round_at if self._round_at is not None else now
         interval_s = min(MAX_ROUND_S, now - since)
@@ -369,6 +370,7 @@
         if report is None:
             return
         self.hosts.record_silences(host, report.silences)
+        self.hosts.record_digest(report.digest)
         for number, customer in self._by_fingerprint.items():
             account = self._accounts[customer]
             if number in report.wants:
@@ -389,6 +391,12 @@
                 heapq.heappush(received, [now + left_s, gift.tokens])
                 self.tokens_received += gift.tokens
 
+    def forget_absent(self, hosts: Collection[str]) -> None:
+        """Forget what is kept of hosts that are not members any more."""
+        for kept in (self._delays, self._new_at):
+            for host in kept.keys() - hosts:
+                del kept[host]
+
     def _wanted_per_s(self, account: _Account, now: float) -> float:
         """Return the rate of tokens that this host needs from others."""
         share = self._share(account, now)
--- a/samphirebend/gateway/ratedivision.py
+++ b/samphirebend/gateway/ratedivision.py
@@ -54,11 +54,12 @@
 
     def fresh(self, now: float) -> dict[str, float]:
         """Return the rates above zero that were reported lately."""
-        return {
-            host: per_s
+        self._rates = {
+            host: (per_s, at)
             for host, (per_s, at) in self._rates.items()
-            if per_s > 0.0 and now - at < self._lifetime_s
+            if now - at < self._lifetime_s
         }
+        return {host: per_s for host, (per_s, _) in self._rates.items() if per_s > 0.0}
 
 
 def divide_by_weight(
--- a/samphirebend/gateway/rowstore.py
+++ b/samphirebend/gateway/rowstore.py
@@ -20,7 +20,7 @@
     """Why a call to the store failed."""
 
     UNAVAILABLE = "unavailable"  # error status, or no response in time
-    CONFLICT = "conflict"
+    CONFLICT = "conflict"  # the row does not have the expected version
     HISTORY_LOST = "history-lost"  # the table must be read as a snapshot again
     UNREADABLE = "unreadable"  # the response failed to decode
     OLD_ERA = "old-era"  # the response is older than a known restore
@@ -55,6 +55,20 @@
         return not self.rows and not self.invalid
 
 
+class RowChange:
+    """A write or a deletion of one row, which a condition may bind."""
+
+    __slots__ = ("expected_version", "key", "value")
+
+    def __init__(
+        self, key: str, value: bytes | None, expected_version: int | None = None
+    ) -> None:
+        self.key = key
+        self.value = value  # None deletes the row
+        # Version that the row must have, or 0 if it must not exist; None: any.
+        self.expected_version = expected_version
+
+
 class RowStore(Protocol):
     """Calls to the store; times are in seconds."""
 
@@ -64,6 +78,6 @@
         self, table: str, after: int, wait_s: float
     ) -> Result[Page, StoreFault]: ...
 
-    async def put(
-        self, table: str, key: str, value: bytes, timeout_s: float
+    async def change(
+        self, table: str, change: RowChange, timeout_s: float
     ) -> Result[None, StoreFault]: ...
--- a/samphirebend/gateway/shutdown.py
+++ b/samphirebend/gateway/shutdown.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Final
 
 from loguru import logger
@@ -24,7 +25,15 @@
 class GracefulShutdown:
     """Runs the graceful shutdown of this host."""
 
-    __slots__ = ("_front", "_gateway", "_members", "_peers", "_reactor", "grace_s")
+    __slots__ = (
+        "_front",
+        "_gateway",
+        "_members",
+        "_peers",
+        "_reactor",
+        "grace_s",
+        "on_refusing",
+    )
 
     def __init__(
         self,
@@ -41,6 +50,8 @@
         self._peers = peers
         self.grace_s = grace_s  # time from the stop signal to the kill
         self._reactor = reactor
+        # Called when the host has ceased to accept requests.
+        self.on_refusing: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Drain this host, then refuse new requests and await the rest."""
@@ -57,9 +68,11 @@
         # Close connections after their next response, so that callers connect
         # to another host.
         self._front.requests.draining = True
-        while self._must_wait(schedule):
-            await deferLater(self._reactor, POLL_INTERVAL_S)
-            self._end_unfinishable(schedule)
+        while schedule.accepts(self._reactor.seconds()):
+            await self._wait(schedule)
+        self.on_refusing()
+        while self._is_busy(schedule):
+            await self._wait(schedule)
         await self._front.requests.close_port()
         left_s = schedule.exits_by - self._reactor.seconds()
         await self._front.requests.close_idle(self._reactor, left_s)
@@ -70,14 +83,14 @@
             elapsed_ms=round((self._reactor.seconds() - started_at) * 1000),
         )
 
-    def _must_wait(self, schedule: StopSchedule) -> bool:
-        """Return whether requests may still arrive or are in flight."""
-        now = self._reactor.seconds()
-        if schedule.accepts(now):
-            return True
-        return bool(self._gateway.in_flight) and now < schedule.exits_by
+    def _is_busy(self, schedule: StopSchedule) -> bool:
+        """Return whether requests are in flight that may still end in time."""
+        in_time = self._reactor.seconds() < schedule.exits_by
+        return bool(self._gateway.in_flight) and in_time
 
-    def _end_unfinishable(self, schedule: StopSchedule) -> None:
+    async def _wait(self, schedule: StopSchedule) -> None:
+        """Wait for a moment, then end the requests that cannot be finished."""
+        await deferLater(self._reactor, POLL_INTERVAL_S)
         now = self._reactor.seconds()
         for request in list(self._gateway.active):
             request.check_stop(schedule, now)
--- a/samphirebend/platform/store.py
+++ b/samphirebend/platform/store.py
@@ -17,7 +17,7 @@
 from ..connectionpool import ConnectionPool
 from ..gateway.eraversion import MAX_VERSION, era_of, in_range, pack, store_version
 from ..gateway.replica import Row
-from ..gateway.rowstore import Page, StoreFault
+from ..gateway.rowstore import Page, RowChange, StoreFault
 from ..gateway.updates import InvalidRow
 from ..httpcall import call
 from .fields import FieldError, get_boolean, get_field, get_integer
@@ -114,17 +114,25 @@
             return result
         return _decode_page(table, result.ok_value).map(_limit)
 
-    async def put(
-        self, table: str, key: str, value: bytes, timeout_s: float
+    async def change(
+        self, table: str, change: RowChange, timeout_s: float
     ) -> Result[None, StoreFault]:
-        """Write one row unconditionally."""
-        row = {
-            "table": table,
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(value).decode(),
+        """Write or delete one row; return CONFLICT if its version is another."""
+        row: dict[str, Any] = {"table": table, "part": "", "key": change.key}
+        transaction: dict[str, list[dict[str, Any]]] = {
+            "precondition": [],
+            "writes": [],
+            "deletes": [],
         }
-        body = msgspec.json.encode({"precondition": [], "writes": [row], "deletes": []})
+        if change.expected_version is not None:
+            number = store_version(change.expected_version)
+            transaction["precondition"] = [row | {"ver": number}]
+        if change.value is None:
+            transaction["deletes"] = [row]
+        else:
+            value = base64.b64encode(change.value).decode()
+            transaction["writes"] = [row | {"value": value}]
+        body = msgspec.json.encode(transaction)
         result = await self._call("POST", "/rows-tx", body, timeout_s)
         return result.map(lambda _response: None)
 
--- /dev/null
+++ b/tests/integration/test_lost_hosts.py
@@ -0,0 +1,100 @@
+"""Guards customers with a quota while most gateway processes leave for good.
+
+Store and upstream are stand-ins. The processes that are left must serve what is
+within the quota, also after a restart.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.gateways import GatewayProcess, caller_headers, make_config
+from tests.processes import START_TIMEOUT_S, eventually
+from tests.standins.platform import StoreStandIn, UpstreamStandIn
+
+ZONES = {"a1": "a", "b1": "b"}
+KEY = "northkey0123456789ab"
+RATE_PER_S, BURST = 100, 100
+# The share of a host that stopped is left to it for 7 s, and that of one that was
+# killed for 35 s. Then the registration is deleted, and there is a start of 7 s.
+# Without contact, a process must give up its share within 20 s.
+STOPPED_S = 25.0
+KILLED_S = 60.0
+REQUEST_INTERVAL_S = 0.1
+
+
+class System:
+    """A store, an upstream and five gateways in two regions."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = StoreStandIn()
+        self.upstream = UpstreamStandIn(self.store, "u1", "s", "a1", "127.0.0.1")
+        config = make_config(1, read=("/read/", "idempotent"))
+        spec = {"apiKeys": [KEY], "ratePerS": RATE_PER_S, "burst": BURST}
+        config["resources"].append(
+            {"resourceKind": "tenants", "metadata": {"name": "north"}, "spec": spec}
+        )
+        self.store.put("op", "config", config)
+        self.upstream.register()
+        self.gateways = [
+            GatewayProcess(
+                self.store.address, f"127.0.0.{number + 2}", zone, ZONES, folder,
+                name=f"front-{number}",
+            )
+            for number, zone in enumerate(["a1", "b1", "a1", "b1", "a1"])
+        ]  # fmt: skip
+        for gateway in self.gateways:
+            eventually(gateway.is_ready, START_TIMEOUT_S, "gateway ready")
+
+    def get(self, gateway: GatewayProcess) -> int:
+        headers = caller_headers("r1") | {"Key": KEY}
+        return gateway.call(gateway.front, "GET", "/read/x", None, headers)[0]
+
+    def serves_all(self) -> bool:
+        """Return whether ten requests in a row are served by the gateways left."""
+        statuses = set()
+        for number in range(10):
+            statuses.add(self.get(self.gateways[number % len(self.gateways)]))
+            time.sleep(REQUEST_INTERVAL_S)
+        return statuses == {200}
+
+    def end(self) -> None:
+        for gateway in self.gateways:
+            gateway.end()
+        self.upstream.stop()
+        self.store.stop()
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[System]:
+    started = System(tmp_path)
+    yield started
+    started.end()
+
+
+@pytest.mark.parametrize(
+    ("number", "limit_s"), [(signal.SIGTERM, STOPPED_S), (signal.SIGKILL, KILLED_S)]
+)
+def test_quota_is_served_after_most_hosts_have_left(
+    system: System, number: signal.Signals, limit_s: float
+) -> None:
+    """Guards against customers that are refused for good."""
+    eventually(system.serves_all, START_TIMEOUT_S, "all served")
+    # One host stays in each region.
+    leaving, system.gateways = system.gateways[2:], system.gateways[:2]
+    for gateway in leaving:
+        gateway.child.send(number)
+    for gateway in leaving:
+        gateway.child.process.wait(timeout=10)
+    for gateway in system.gateways:
+        gateway.child.kill()
+        gateway.start()
+    for gateway in system.gateways:
+        eventually(gateway.is_ready, START_TIMEOUT_S, "gateway ready")
+    time.sleep(limit_s)
+    assert system.serves_all()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -198,15 +198,28 @@
             if self._refuses(handler):
                 handler.reply_json(503, {"error": "refused"})
                 return
+            if not all(map(self._has_version, body["precondition"])):
+                handler.reply_json(412, {"ver": self.version, "nowMs": 1})
+                return
             for row in body["writes"]:
                 self.version += 1
                 self.rows[row["table"], row["key"]] = row | {"ver": self.version}
+            for row in body["deletes"]:
+                self.version += 1
+                deleted = row | {"ver": self.version, "deleted": True}
+                self.rows[row["table"], row["key"]] = deleted
             self.changed.notify_all()
             if self._rng.random() < self.lost_share:
                 handler.drop()
                 return
             handler.reply_json(200, {"ver": self.version, "nowMs": 1})
 
+    def _has_version(self, expected: dict[str, Any]) -> bool:
+        """Return whether a row has a version; 0 stands for no row."""
+        row = self.rows.get((expected["table"], expected["key"]))
+        exists = row is not None and "deleted" not in row
+        return bool((row["ver"] if row and exists else 0) == expected["ver"])
+
     def stop(self) -> None:
         self.server.shutdown()
         self.server.server_close()
--- a/tests/unit/gateway/test_hostlist.py
+++ b/tests/unit/gateway/test_hostlist.py
@@ -20,7 +20,7 @@
 from samphirebend.gateway.invalidrows import InvalidRows
 from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.replica import Row
-from samphirebend.gateway.rowstore import Page, StoreFault
+from samphirebend.gateway.rowstore import Page, RowChange, StoreFault
 
 
 class Store:
@@ -56,12 +56,13 @@
     ) -> Result[Page, StoreFault]:
         return Err(StoreFault.UNAVAILABLE)
 
-    async def put(
-        self, table: str, key: str, value: bytes, timeout_s: float
+    async def change(
+        self, table: str, change: RowChange, timeout_s: float
     ) -> Result[None, StoreFault]:
         if not await self._wait():
             return Err(StoreFault.UNAVAILABLE)
-        self.rows[key] = value
+        if change.value is not None:
+            self.rows[change.key] = change.value
         return Ok(None)
 
 
--- /dev/null
+++ b/tests/unit/gateway/test_lost_hosts.py
@@ -0,0 +1,255 @@
+"""Tests shares of quotas while hosts leave for good, and come back.
+
+Guards against customers refused for good because of hosts that are gone, and
+against shares that two hosts use at the same time.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from samphirebend.gateway.contact import (
+    KEEP_DISTANT_S,
+    REMOVE_BY_LEARNER_S,
+    REMOVE_DISTANT_S,
+    REMOVE_S,
+)
+
+from .hostfleet import RATE_PER_S, Fleet
+
+SEVEN = "abcabca"  # regions of seven hosts
+SETTLE_S = 12.0
+STOPPED_S = 25.0  # in which the shares of stopped hosts are divided
+KILLED_S = 65.0  # the same for hosts that were killed
+# The same if no host is left in the regions of more than half of the hosts.
+REGIONS_KILLED_S = REMOVE_DISTANT_S + 30.0
+MIN_SERVED = 0.95  # of a demand below the quota
+MIN_USED = 0.90  # of the rate under a demand above it
+USUAL = RATE_PER_S / 1.6
+HEAVY = 4.0 * RATE_PER_S  # each side of a partition may use the whole quota
+
+LEAVING = {
+    "one": ["h6"],
+    "minority": ["h4", "h5", "h6"],
+    "majority": ["h3", "h4", "h5", "h6"],
+    "region": ["h0", "h3", "h6"],
+    "two regions": ["h1", "h2", "h4", "h5"],
+    "all but one": ["h1", "h2", "h3", "h4", "h5", "h6"],
+}
+DISTANT = ("two regions", "all but one")
+Leave = Callable[[Fleet, list[str]], None]
+
+
+def stop(fleet: Fleet, names: list[str]) -> None:
+    fleet.stop(*names)
+
+
+def kill(fleet: Fleet, names: list[str]) -> None:
+    fleet.kill(*names)
+
+
+def settled(regions: str = SEVEN, demand_per_s: float = HEAVY, seed: int = 1) -> Fleet:
+    fleet = Fleet(regions, demand_per_s, seed)
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+def check(fleet: Fleet, for_s: float = 10.0) -> None:
+    """Check that the quota is kept and used, and that no row is left behind."""
+    served = fleet.served_share(for_s)
+    assert fleet.most <= 1.0
+    assert served >= (MIN_SERVED if fleet.demand_per_s < RATE_PER_S else MIN_USED)
+    assert fleet.store.present() == set(fleet.hosts)
+
+
+@pytest.mark.parametrize("demand_per_s", [USUAL, HEAVY], ids=["usual", "heavy"])
+@pytest.mark.parametrize("restarts", [False, True], ids=["running", "restarted"])
+@pytest.mark.parametrize("leave", [stop, kill])
+@pytest.mark.parametrize("lost", LEAVING)
+def test_quota_is_used_after_hosts_have_left(
+    lost: str, leave: Leave, restarts: bool, demand_per_s: float
+) -> None:
+    fleet = settled(demand_per_s=demand_per_s)
+    leave(fleet, LEAVING[lost])
+    if restarts:
+        fleet.restart(*fleet.hosts)
+    killed_s = REGIONS_KILLED_S if lost in DISTANT else KILLED_S
+    fleet.run(STOPPED_S if leave is stop else killed_s)
+    check(fleet)
+
+
+@pytest.mark.parametrize("leave", [stop, kill])
+def test_quota_is_used_while_hosts_leave_one_by_one(leave: Leave) -> None:
+    fleet = settled(demand_per_s=USUAL)
+    for number in range(6, 0, -1):
+        leave(fleet, [f"h{number}"])
+        # The last two hosts are in two regions.
+        is_distant = leave is kill and number == 1
+        fleet.run(REGIONS_KILLED_S if is_distant else KILLED_S)
+        check(fleet)
+
+
+@pytest.mark.parametrize("pause_s", [3.0, 20.0, 60.0])
+@pytest.mark.parametrize("leave", [stop, kill])
+def test_nothing_is_left_of_hosts_that_were_replaced(
+    leave: Leave, pause_s: float
+) -> None:
+    """Guards against lists and shares that grow for days."""
+    fleet = settled(demand_per_s=USUAL)
+    for number in range(7, 47):
+        old = f"h{number - 7}"
+        region = fleet.hosts[old].region
+        leave(fleet, [old])
+        fleet.run(pause_s)
+        fleet.start(f"h{number}", region)
+    # With the shortest pause, all hosts are new before one of them is a voter.
+    are_all_new = leave is kill and pause_s < REMOVE_S / 7
+    fleet.run(REMOVE_BY_LEARNER_S + 40.0 if are_all_new else KILLED_S)
+    check(fleet)
+    for host in fleet.hosts.values():
+        assert host.hosts.names == set(fleet.hosts)
+        assert host.members.count() == len(fleet.hosts)
+        others = set(fleet.hosts) - {host.name}
+        assert {member.host for member in host.members.others()} == others
+        kept = [
+            len(getattr(host.hosts, name))
+            for name in (
+                "_added_at",
+                "_fingerprints",
+                "_heard_at",
+                "_silences",
+                "_silent_since",
+            )
+        ]
+        assert max(kept) <= len(fleet.hosts)
+
+
+@pytest.mark.parametrize("leave", [stop, kill])
+@pytest.mark.parametrize("lost", LEAVING)
+def test_quota_is_used_after_hosts_were_replaced_at_once(
+    lost: str, leave: Leave
+) -> None:
+    fleet = settled(demand_per_s=USUAL)
+    regions = {name: fleet.hosts[name].region for name in LEAVING[lost]}
+    leave(fleet, LEAVING[lost])
+    for number, region in enumerate(regions.values()):
+        fleet.start(f"new{number}", region)
+    killed_s = REGIONS_KILLED_S if lost in DISTANT else KILLED_S
+    fleet.run(STOPPED_S if leave is stop else killed_s)
+    check(fleet)
+
+
+@pytest.mark.parametrize("has_store", [True, False], ids=["store", "no store"])
+@pytest.mark.parametrize("for_s", [5.0, 30.0, 90.0, KEEP_DISTANT_S + 60.0])
+@pytest.mark.parametrize("lost", LEAVING)
+def test_hosts_that_were_cut_off_use_no_share_twice(
+    lost: str, for_s: float, has_store: bool
+) -> None:
+    fleet = settled()
+    fleet.cut(*LEAVING[lost], store=has_store)
+    fleet.run(for_s)
+    assert fleet.most <= 1.0
+    fleet.heal()
+    fleet.run(KILLED_S)
+    check(fleet)
+
+
+@pytest.mark.parametrize("for_s", [5.0, 30.0, 90.0])
+@pytest.mark.parametrize("lost", LEAVING)
+def test_hosts_that_were_frozen_use_no_share_twice(lost: str, for_s: float) -> None:
+    fleet = settled()
+    fleet.freeze(*LEAVING[lost])
+    fleet.run(for_s)
+    fleet.thaw(*LEAVING[lost])
+    fleet.run(KILLED_S)
+    check(fleet)
+
+
+@pytest.mark.parametrize("restarts", [False, True], ids=["running", "restarted"])
+@pytest.mark.parametrize("has_store", [True, False], ids=["store", "no store"])
+def test_replacements_do_not_outvote_hosts_that_are_cut_off(
+    has_store: bool, restarts: bool
+) -> None:
+    """Guards against new hosts that count in a majority on one side."""
+    fleet = settled()
+    fleet.cut(*LEAVING["two regions"], store=has_store)
+    for number in range(5):
+        fleet.start(f"new{number}", "a")
+    fleet.run(20.0)
+    if restarts:
+        fleet.restart("h0", "h3", "h6", *(f"new{number}" for number in range(5)))
+    fleet.run(REMOVE_DISTANT_S + 60.0)
+    assert fleet.most <= 1.0
+    fleet.heal()
+    fleet.run(KILLED_S)
+    check(fleet)
+
+
+@pytest.mark.parametrize("leave", [stop, kill])
+def test_host_that_is_lost_while_the_store_is_away_costs_no_other_region(
+    leave: Leave,
+) -> None:
+    fleet = settled(demand_per_s=USUAL)
+    fleet.store.refused |= set(fleet.hosts)
+    leave(fleet, ["h6"])
+    fleet.run(40.0)
+    for name in ("h1", "h2", "h4", "h5"):
+        assert fleet.hosts[name].hosts.has_share(fleet.clock.seconds())
+    assert not fleet.hosts["h0"].hosts.has_share(fleet.clock.seconds())
+    fleet.heal()
+    fleet.run(KILLED_S)
+    check(fleet)
+
+
+def test_restored_store_costs_no_host_its_share() -> None:
+    fleet = settled(demand_per_s=USUAL)
+    fleet.store.back_up()
+    fleet.start("new", "a")
+    fleet.run(10.0)
+    fleet.store.restore()
+    for host in fleet.hosts.values():
+        host.host_list.register_again()
+    check(fleet)
+    fleet.run(30.0)
+    check(fleet)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_quota_is_kept_and_used_through_overlapping_losses(seed: int) -> None:
+    rng = random.Random(seed)
+    fleet = settled(demand_per_s=HEAVY, seed=seed)
+    numbers = iter(range(7, 1000))
+    for _ in range(12):
+        play_step(fleet, rng, numbers)
+        fleet.run(rng.choice([0.5, 4.0, 12.0, 40.0]))
+        assert fleet.most <= 1.0
+    fleet.heal()
+    fleet.thaw(*fleet.hosts)
+    fleet.run(REGIONS_KILLED_S)
+    check(fleet)
+
+
+def play_step(fleet: Fleet, rng: random.Random, numbers: Iterator[int]) -> None:
+    """Bring about one loss or return."""
+    names = list(fleet.hosts)
+    some = rng.sample(names, rng.randint(1, max(1, len(names) - 2)))
+    step = rng.choice(["kill", "stop", "restart", "freeze", "thaw", "cut", "heal"])
+    if step in ("kill", "stop") and len(names) > 3:
+        some = some[: len(names) - 3]
+        regions = [fleet.hosts[name].region for name in some]
+        (fleet.kill if step == "kill" else fleet.stop)(*some)
+        for region in regions:
+            fleet.start(f"h{next(numbers)}", region)
+    elif step == "restart":
+        fleet.restart(*some)
+    elif step == "freeze":
+        fleet.freeze(*some)
+    elif step == "thaw":
+        fleet.thaw(*names)
+    elif step == "cut":
+        fleet.cut(*some, store=rng.random() < 0.5)
+    else:
+        fleet.heal()
--- a/tests/unit/gateway/test_quotarelease.py
+++ b/tests/unit/gateway/test_quotarelease.py
@@ -8,7 +8,7 @@
 
 import random
 
-from samphirebend.gateway.quotahosts import KEEP_SHARE_S
+from samphirebend.gateway.contact import KEEP_SHARE_S
 from samphirebend.gateway.quotarelease import Release
 from samphirebend.gateway.quotas import QuotaLimit, Quotas
 
--- a/tests/unit/gateway/test_quotas.py
+++ b/tests/unit/gateway/test_quotas.py
@@ -16,8 +16,8 @@
 import pytest
 
 from samphirebend.gateway import quotas as quotas_module
+from samphirebend.gateway.contact import KEEP_SHARE_S, REMOVE_S
 from samphirebend.gateway.observations import fingerprint
-from samphirebend.gateway.quotahosts import KEEP_SHARE_S, REMOVE_S
 from samphirebend.gateway.quotareports import (
     Gift,
     QuotaReport,
--- a/tests/unit/gateway/test_staleness.py
+++ b/tests/unit/gateway/test_staleness.py
@@ -17,7 +17,7 @@
 from samphirebend.gateway.registry import UpstreamRegistry
 from samphirebend.gateway.replica import Replica, Row
 from samphirebend.gateway.routingstate import RoutingState
-from samphirebend.gateway.rowstore import Page, StoreFault
+from samphirebend.gateway.rowstore import Page, RowChange, StoreFault
 from samphirebend.gateway.updates import Update, UpstreamRemoved, UpstreamUpdate
 
 from .builders import REGIONS, make_entry, make_placement
@@ -94,10 +94,10 @@
             self._polls.remove(poll)
             poll[2].callback(Ok(Page([], self._version)))
 
-    async def put(
-        self, table: str, key: str, value: bytes, timeout_s: float
+    async def change(
+        self, table: str, change: RowChange, timeout_s: float
     ) -> Result[None, StoreFault]:
-        self.write(table, key, value)
+        self.write(table, change.key, change.value)
         return Ok(None)
 
 
