End a streamed response at the deadline of its request

Cause: the timer of a request did nothing once a response was being streamed, and no other timer ends one. Responses to requests that may run once are streamed from their head, others above 64 KB.

Ruled out: buffered responses get 504 at the timeout; keep-alive probes are answered by the upstream's kernel, so the connection is not lost.

Change: at the deadline the response is broken off with its connection, and its upstream counts as failed unless the caller did not read. A caller that leaves a streamed response ends it at the upstream at once. response_broken_off is logged.

--- a/samphirebend/gateway/attempt.py
+++ b/samphirebend/gateway/attempt.py
@@ -56,6 +56,7 @@
         "done",
         "end_kind",
         "error",
+        "is_paused",
         "may_stream",
         "on_head",
         "on_leaving",
@@ -83,6 +84,7 @@
         self._body = bytearray()
         self._buffered_bytes = 0
         self._streaming = False
+        self.is_paused = False  # the caller does not read the streamed response
         self.upstream = upstream
         self.sent = False  # whether any part of the request was written
         self.response_head: ResponseHead | None = None
@@ -161,6 +163,17 @@
                 self._conn.cancel()
             self.fail(ErrorKind.UPSTREAM_TIMEOUT)
 
+    def break_off(self) -> None:
+        """End the attempt at the deadline, with a response that is incomplete.
+
+        The upstream is not to blame if the caller does not read the response.
+        """
+        if self.is_paused:
+            self._req.abort()
+            self.cancel()
+        else:
+            self.abandon()
+
     @property
     def body(self) -> bytes:
         """Return the body of a buffered response."""
@@ -264,17 +277,26 @@
         return head is not None and is_acceptable(head, self.response_info)
 
     def _begin_stream(self) -> None:
-        head, conn = self.response_head, self._conn
+        head = self.response_head
         assert head is not None
         self._streaming = True
-        if conn is not None:
-            self._req.on_pause = conn.pause
-            self._req.on_resume = conn.resume
+        self._req.on_pause = self._pause
+        self._req.on_resume = self._resume
         self._req.start(head.status, end_to_end(head.headers))
         if self._body:
             self._req.write(bytes(self._body))
             self._body.clear()
 
+    def _pause(self) -> None:
+        self.is_paused = True
+        if self._conn is not None:
+            self._conn.pause()
+
+    def _resume(self) -> None:
+        self.is_paused = False
+        if self._conn is not None:
+            self._conn.resume()
+
     def _finish(self, kind: AttemptEnd) -> None:
         if self.end_kind is None:
             self.end_kind = kind
--- a/samphirebend/gateway/attemptrunner.py
+++ b/samphirebend/gateway/attemptrunner.py
@@ -151,6 +151,11 @@
         for run in list(self._running):
             run.attempt.cancel()
 
+    def break_off(self) -> None:
+        """Break off the response that is being streamed to the caller."""
+        for run in list(self._running):
+            run.attempt.break_off()
+
     def record_unanswered(self) -> None:
         """Record at the deadline that responses are missing."""
         now = self._gateway.reactor.seconds()
--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -326,28 +326,38 @@
         self._refuse_or_fail(refused, error or ErrorKind.UPSTREAM_BROKEN)
 
     def _on_deadline(self) -> None:
-        """Fail the request at its deadline, unless a response is streaming."""
-        if self._finished:
+        """Fail the request at its deadline, or break off its response."""
+        if self._req.closed:
             # A non-idempotent request may run on after its caller
             # disconnected, but not beyond its deadline.
-            if self._req.closed:
-                self._runner.cancel()
+            self._runner.cancel()
             return
         if self._runner.streaming:
+            self._break_off()
+            return
+        if self._req.answered:
             return
         self._runner.record_unanswered()
         self._refuse_or_fail(refuse_at_deadline(), ErrorKind.UPSTREAM_TIMEOUT)
         self._runner.cancel()
 
+    def _break_off(self) -> None:
+        """End a streamed response that is incomplete, and its connection."""
+        self._gateway.metrics.count_refusal(ErrorKind.UPSTREAM_TIMEOUT)
+        if self._runner.last is not None:
+            self._log.log_broken_off(self._runner.last, self._elapsed_s())
+        self._runner.break_off()
+
     def _on_caller_lost(self) -> None:
         attempt, route = self._runner.last, self._route
-        if attempt is None or self._req.finished:
+        if attempt is None or attempt.end_kind is not None or self._req.finished:
             return
         # A non-idempotent request with a complete body is left to finish until
-        # its deadline: cancelling it would leave its outcome unknown.
+        # its deadline: cancelling it would leave its outcome unknown. One whose
+        # response has begun has run.
         in_time = self._gateway.reactor.seconds() < self._deadline
         complete = not self._body.streamed or self._body.ended
-        may_finish = attempt.sent and complete and in_time
+        may_finish = attempt.sent and complete and in_time and not attempt.streaming
         cancelled = route is None or route.idempotent or not may_finish
         self._gateway.metrics.count_caller_lost(self._service)
         self._log.log_caller_lost(attempt, cancelled, self._elapsed_s())
--- a/samphirebend/gateway/requestlog.py
+++ b/samphirebend/gateway/requestlog.py
@@ -122,6 +122,18 @@
             config_version=config_version,
         )
 
+    def log_broken_off(self, attempt: Attempt, elapsed_s: float) -> None:
+        """Log that the deadline ended a response that was being streamed."""
+        logger.info(
+            "response broken off at the deadline",
+            event="response_broken_off",
+            request_id=self._request_id,
+            service=self.service,
+            upstream=attempt.upstream.name,
+            waits_for="caller" if attempt.is_paused else "upstream",
+            elapsed_ms=round(elapsed_s * 1000),
+        )
+
     def log_caller_lost(
         self, attempt: Attempt, cancelled: bool, elapsed_s: float
     ) -> None:
