Keep the responses before one that is broken off

What callers saw: of pipelined requests, one behind others whose response was broken off (by its upstream, or at its deadline) reset the connection, and took the responses before it along, which were not complete yet.

Cause: the only end of an incomplete response was a reset, wherever it stood in the order of the connection. Nothing of a response that is not the first has been sent, so nothing has to be marked as incomplete.

Change: such a response is dropped, requests behind it are ended, and the connection closes in its place after the responses before it.

test_broken_response_keeps_the_one_before_it failed before (the connection was aborted at the deadline of the second request).

--- a/samphirebend/serverconnection.py
+++ b/samphirebend/serverconnection.py
@@ -364,6 +364,23 @@
         """Reset the connection."""
         self.transport.abortConnection()
 
+    def break_off(self, req: ServerRequest) -> None:
+        """End the connection at a response that stays incomplete.
+
+        The responses before it are sent first, and those after it never are.
+        """
+        if not self._queue or req is self._queue[0] or req not in self._queue:
+            self.abort()
+            return
+        self._no_more_requests = True
+        req.is_broken = True
+        req.pending_output.clear()
+        while self._queue[-1] is not req:
+            behind = self._queue.pop()
+            if behind is self._receiving:
+                self._receiving = None
+            behind.mark_closed()
+
     def _finish(self, req: ServerRequest) -> None:
         req.finished = True
         if not req.fully_received and req is self._queue[0]:
@@ -393,6 +410,9 @@
         if not self._queue:
             return
         req = self._queue[0]
+        if req.is_broken:
+            self._discard_rest()
+            return
         self._start_handler(req)
         if not self._queue or req is not self._queue[0] or not req.pending_output:
             return
--- a/samphirebend/serverrequest.py
+++ b/samphirebend/serverrequest.py
@@ -93,6 +93,7 @@
         "handler_started",
         "header",
         "headers",
+        "is_broken",
         "method",
         "on_closed",
         "on_pause",
@@ -122,6 +123,8 @@
         self.answered = False  # the response was started
         self.streaming = False  # the body of the response is sent in parts
         self.finished = False  # the response was written or queued to its end
+        # The connection ends in place of the response, which is incomplete.
+        self.is_broken = False
         self.closed = False  # the connection was lost or its output closed
         # Bytes of the response that wait for the responses to earlier
         # requests.
@@ -234,9 +237,9 @@
             self._conn.end_response(self)
 
     def abort(self) -> None:
-        """Reset the connection; a partial response must not look complete."""
+        """End the connection here; a partial response must not look complete."""
         if not self.closed:
-            self._conn.abort()
+            self._conn.break_off(self)
 
     # Interface of a Twisted push producer, for flow control of the response.
 
--- a/tests/unit/gateway/test_waits_end.py
+++ b/tests/unit/gateway/test_waits_end.py
@@ -141,6 +141,27 @@
 COMPLETE: Final = HEAD + b"Content-Length: 2\r\n\r\nok"
 
 
+def test_broken_response_keeps_the_one_before_it() -> None:
+    """Guards a request whose neighbour behind it reaches its deadline first."""
+    clock = Clock()
+    pool = Pool(("silent",) * 3, clock)
+    gateway = make_gateway(RequestKind.IDEMPOTENT, pool, clock)
+    caller = Caller(
+        gateway, request(b"r1", 2000), request(b"r2", 1000), request(b"r3", 2000)
+    )
+    respond(pool, b"r2", RESPONSES["length, large part"])
+    respond(pool, b"r3", COMPLETE)
+    clock.advance(1.1)
+    assert caller.transport.value() == b""
+    assert not caller.sees_end
+    respond(pool, b"r1", COMPLETE)
+    assert caller.transport.value().endswith(b"\r\n\r\nok")
+    assert caller.transport.value().count(b"HTTP/1.1 ") == 1
+    clock.advance(2.0)
+    assert caller.sees_end
+    assert gateway.in_flight == 0
+
+
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
 @pytest.mark.parametrize("response", RESPONSES)
 def test_neighbours_of_a_response_that_does_not_end(
