Count the time that a request waits behind others of its connection

What callers saw: a request that may run once waits for the responses to earlier requests of its connection. Its deadline was counted from the end of that wait: the caller got its answer, or none, later than it waits, and the upstream was given more time than was left.

Cause: the start of a request was the start of its handler.

Change: it is the arrival of its head. A request whose deadline has passed when its turn comes is refused at once, as it has not run.

Not covered: of several requests that wait, only the first one's head is read, so that the time of the others counts from when it is their turn to be read.

--- a/samphirebend/gateway/forward.py
+++ b/samphirebend/gateway/forward.py
@@ -49,6 +49,7 @@
     """Forwards one request and responds to its caller."""
 
     __slots__ = (
+        "_began_at",
         "_body",
         "_caller",
         "_deadline",
@@ -67,7 +68,11 @@
     def __init__(self, gateway: GatewayContext, req: ServerRequest) -> None:
         self._gateway = gateway
         self._req = req
-        self._started_at: float = gateway.reactor.seconds()
+        self._began_at: float = gateway.reactor.seconds()
+        # The caller waits since its request has arrived, which may be earlier.
+        self._started_at = self._began_at
+        if req.received_at is not None:
+            self._started_at = req.received_at
         self._caller: CallerInfo = gateway.dialect.read_caller(req)
         self._log = RequestLog(self._caller.request_id)
         self._lifecycle = make_request_lifecycle()
@@ -90,14 +95,19 @@
 
     async def run(self) -> None:
         """Handle the request until it gets its response or is abandoned."""
-        if not self._find_route() or not self._take_token():
+        if not self._find_route():
+            return
+        if self._deadline <= self._began_at:
+            self._refuse(refuse_at_deadline())
+            return
+        if not self._take_token():
             return
         # A request over quota allows no retries and hedges at the service.
-        self._gateway.retry_budget.record_request(self._service, self._started_at)
-        self._gateway.hedging.record_request(self._service, self._started_at)
+        self._gateway.retry_budget.record_request(self._service, self._began_at)
+        self._gateway.hedging.record_request(self._service, self._began_at)
         self._req.on_closed = self._on_caller_lost
         timer = self._gateway.reactor.callLater(
-            max(0.0, self._deadline - self._started_at), self._on_deadline
+            self._deadline - self._began_at, self._on_deadline
         )
         self._req.receive_body(self._body)
         await self._body.ready
@@ -142,7 +152,7 @@
             self._refuse(refuse_without_config())
             return False
         schedule = gateway.stop_schedule
-        if schedule is not None and not schedule.accepts(self._started_at):
+        if schedule is not None and not schedule.accepts(self._began_at):
             self._refuse(refuse_while_stopping())
             return False
         path = self._req.target.partition("?")[0]
--- a/samphirebend/gateway/front.py
+++ b/samphirebend/gateway/front.py
@@ -67,7 +67,7 @@
         self._clock = clock
         self.set_lookup_ttl_max(ttl_max_s)
         self.gateway = gateway
-        self.requests = HttpServer(self._handle, MAX_PIPELINED)
+        self.requests = HttpServer(self._handle, MAX_PIPELINED, reactor.seconds)
         self.listeners: list[tuple[HttpServer, Address]] = []
         # Ages of the store's tables, for previews.
         self.table_ages_s: Callable[[], dict[str, float]] = dict
--- a/samphirebend/httpserver.py
+++ b/samphirebend/httpserver.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "_port",
+        "clock",
         "connections",
         "draining",
         "handler",
@@ -37,8 +38,14 @@
         "max_pipelined",
     )
 
-    def __init__(self, handler: Handler, max_pipelined: int = 1) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        max_pipelined: int = 1,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
         self.handler = handler
+        self.clock = clock  # of the arrival of requests; None: it is not recorded
         # Limit on the unfinished requests of a connection.
         self.max_pipelined = max_pipelined
         self.idle_timeout_s = IDLE_TIMEOUT_S
--- a/samphirebend/serverconnection.py
+++ b/samphirebend/serverconnection.py
@@ -220,6 +220,8 @@
         if head_bytes(event) > self._server.max_header_bytes:
             raise h11.RemoteProtocolError("head too large", error_status_hint=431)
         req = ServerRequest(self, self._parser, event)
+        if self._server.clock is not None:
+            req.received_at = self._server.clock()
         self._queue.append(req)
         self._receiving = req
         if not req.has_body:
--- a/samphirebend/serverrequest.py
+++ b/samphirebend/serverrequest.py
@@ -100,6 +100,7 @@
         "on_resume",
         "peer_ip",
         "pending_output",
+        "received_at",
         "streaming",
         "target",
     )
@@ -118,6 +119,9 @@
         self.peer_ip = conn.peer_ip
         length = self.header.get(b"content-length")
         self.content_length: int | None = int(length) if length else None
+        # When the head arrived, by the clock of the server, if it has one. The
+        # handler may start later, after earlier requests of the connection.
+        self.received_at: float | None = None
         self.handler_started = False
         self.fully_received = False  # the body was received to its end
         self.answered = False  # the response was started
