Bound the wait of the daemon for a caller's body

What callers saw: a request whose body stops before its end was kept for good by the product's own daemon, with its connection and what had come of the body.

Cause: only where the caller's link has a budget did the wait have a limit, for hosts without a share of it.

Change: the deadline of the request bounds it in both cases (504, DEADLINE_PASSED).

test_body_that_does_not_end_is_refused_at_the_deadline[False] failed before, [True] passed.

--- a/samphirebend/requesthandler.py
+++ b/samphirebend/requesthandler.py
@@ -263,16 +263,18 @@
         return None
 
     async def _read_body(self, job: Job, max_bytes: int) -> bytes | ErrorKind:
-        """Read the whole body within the budget of the caller's link."""
+        """Read the whole body within the budget of the caller's link.
+
+        Return DEADLINE_PASSED if it is not complete at the deadline.
+        """
         req, call_later = job.req, self._reactor.callLater
         pacer = self._read_pacer(req)
         if pacer is None:
-            return await req.read_all(max_bytes)
-        body_read = req.read_all(
-            max_bytes, lambda sink: PacedBody(req, sink, pacer, call_later)
-        )
-        # While the host has no share of the link, the pacer lets no byte of
-        # the body pass, so that the wait needs a limit.
+            body_read = req.read_all(max_bytes)
+        else:
+            body_read = req.read_all(
+                max_bytes, lambda sink: PacedBody(req, sink, pacer, call_later)
+            )
         wait_s = max(0.0, job.deadline - self._reactor.seconds())
         body_read.addTimeout(wait_s, self._reactor, _on_read_timeout)
         return await body_read
--- a/tests/unit/test_requesthandler.py
+++ b/tests/unit/test_requesthandler.py
@@ -7,6 +7,7 @@
 
 import pytest
 from result import Err
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from samphirebend.errorcodes import ErrorKind
@@ -177,3 +178,26 @@
     repeat.receive_reply(incarnation=8)
     repeat.clock.advance(0.1)
     assert repeat.req.status
+
+
+@pytest.mark.parametrize("is_paced", [False, True])
+def test_body_that_does_not_end_is_refused_at_the_deadline(is_paced: bool) -> None:
+    """Guards against callers, and memory, kept for a body that stops."""
+    clock = Clock()
+    service = Mock(idempotent=False, timeout_s=5.0, max_body_bytes=100)
+    service.name = "write"
+    pacer = Mock() if is_paced else None
+    callbacks = [lambda _: pacer, lambda _: pacer, lambda _, __: 0]
+    make_handler: Any = RequestHandler
+    collaborators = [Mock(), Mock(), Mock(), Mock(), Mock(), Mock()]
+    handler = make_handler("here", clock, *collaborators, lambda _: True, *callbacks)
+    handler.apply(cast(Any, Mock(services={"write": service}, hosts={})))
+    req: Any = FakeKeyedRequest()
+    req.has_body, req.content_length = True, 10
+    req.read_all = lambda *_args: Deferred()
+    handler.handle(req)
+    clock.advance(4.9)
+    assert not req.status
+    clock.advance(0.2)
+    assert (req.status, req.kind) == (504, b"DEADLINE_PASSED")
+    assert handler.in_flight == 0
