Divide the other limits among the hosts that hold shares, too

Cause: hosts that are cut off kept their parts of the retry budget, of cold upstreams and of the limits that upstreams name, or took all of them, as each side of a partition divided by the hosts, or by the demand, that it knew; hosts that had gone stayed in the count.

A host that may have been removed divides by four times the count, which is within the margin with which these limits are used (0.8), and of such hosts one at most sends to an upstream with a smaller limit than hosts. Of the limits that upstreams name, a host uses the part of the hosts with which it is in contact.

--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -301,6 +301,7 @@
     def _update_rate_limits(self) -> None:
         limits = self.gateway.feedback.rate_limits
         limits.host_count = self.members.count()
+        limits.contact_fraction = self.members.contact_fraction
         others = self.members.others()
         full_mesh = len(others) < GOSSIP_MIN_HOSTS
         hosts = [] if full_mesh else [self.members.own, *others]
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -8,6 +8,7 @@
 
 from ..addresses import Address
 from .observations import fingerprint
+from .quotahosts import REMOVED_FACTOR
 from .rendezvous import score
 
 # Time without a heartbeat after which a host counts as lost, so that callers
@@ -28,9 +29,6 @@
 # Host count assumed until the list of hosts is read, so that this host's
 # shares of fleet-wide limits are not too large.
 ASSUMED_HOSTS: Final = 8
-# Factor on the host count at a host that others may have removed. Its part of the
-# limits is then within the margin of `budgets`.
-REMOVED_FACTOR: Final = 2
 MAX_ADDRESSES: Final = 64  # addresses in the answer to one look-up
 
 
@@ -85,6 +83,7 @@
         "_others",
         "_registered",
         "_rng",
+        "contact_fraction",
         "host_list_read",
         "is_removed",
         "own",
@@ -104,6 +103,8 @@
         self._listed_at = 0.0
         # Whether other hosts may have divided this host's share of the limits.
         self.is_removed = False
+        # Part of the limits of upstreams that may be used; see `quotahosts`.
+        self.contact_fraction = 1.0
 
     def set_registered(self, hosts: Collection[str], as_of: float) -> None:
         """Record which hosts the list of hosts has as of a time."""
@@ -194,7 +195,8 @@
         known = len(self._others) + 1
         if not self.host_list_read:
             return max(known, ASSUMED_HOSTS)
-        # Hosts that share what this host had use the limits almost fully.
+        # The part of a host that others may have removed is then within the
+        # margin of `budgets`.
         return REMOVED_FACTOR * known if self.is_removed else known
 
     def position(self, key: str) -> int:
@@ -202,6 +204,14 @@
         own = score(self.own.host, key)
         return sum(score(host, key) > own for host in self._others)
 
+    def share_position(self, key: str) -> int:
+        """Return this host's index in a key's order of the hosts with shares.
+
+        Of the hosts that others may have removed, only the first has a small one.
+        """
+        position = self.position(key)
+        return position * self.count() if self.is_removed else position
+
     def live_position(self, key: str, now: float) -> int:
         """Return this host's index in a key's order of live hosts."""
         own = score(self.own.host, key)
--- a/samphirebend/gateway/placement.py
+++ b/samphirebend/gateway/placement.py
@@ -397,7 +397,7 @@
         policy = self._policies.get(upstream.entry.service)
         if policy is None or not policy.cold_per_s:
             return True
-        position = self._members.position(upstream.name)
+        position = self._members.share_position(upstream.name)
         return self._cold_limit.allows(
             upstream.name, policy.cold_per_s, self._members.count(), position, now
         )
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -40,6 +40,9 @@
 SUSPENDED_S: Final = 5.0
 # Time after the last silence for which reports are still sent.
 REPORT_CALM_S: Final = 10.0
+# Divisor of what a host uses that others may have removed, of limits with a margin
+# for it.
+REMOVED_FACTOR: Final = 4
 # Highest age in a report.
 MAX_REPORTED_S: Final = 255
 
@@ -237,10 +240,19 @@
 
     def is_removed(self, now: float) -> bool:
         """Return whether others may have divided this host's share."""
-        if now - self._listed_at < KEEP_SHARE_S:
-            return False  # it has just started
         return not self.contact.keeps_share(now)
 
+    def contact_fraction(self, now: float) -> float:
+        """Return which part of the hosts with a share is in contact.
+
+        At a host that others may have removed, it is the part to use.
+        """
+        fraction = 1.0
+        if self.divides_by_contact:
+            in_contact = len(self.names & self._confirmed_since.keys())
+            fraction = (1 + in_contact) / len(self.names)
+        return fraction / REMOVED_FACTOR if self.is_removed(now) else fraction
+
     def release_age_s(self, now: float) -> float | None:
         """Return the age by which tokens are released to a process that started.
 
--- a/samphirebend/gateway/ratelimits.py
+++ b/samphirebend/gateway/ratelimits.py
@@ -106,13 +106,23 @@
 class RateLimits:
     """The limits of all upstreams, and this host's share of each."""
 
-    __slots__ = ("_host", "_limited", "_next_report", "gossip_hosts", "host_count")
+    __slots__ = (
+        "_host",
+        "_limited",
+        "_next_report",
+        "contact_fraction",
+        "gossip_hosts",
+        "host_count",
+    )
 
     def __init__(self, host: str) -> None:
         self._host = host
         self._limited: dict[int, _LimitedUpstream] = {}  # keyed by fingerprint
         self._next_report = 0  # position of the next report among the limits
         self.host_count = 1  # hosts among which a new limit is divided
+        # Part of the hosts whose demand is known. The rest may use their part of a
+        # limit, although they are not in contact.
+        self.contact_fraction = 1.0
         # Names of all hosts if a heartbeat reaches only some of them, so that
         # the demand is not known; empty otherwise.
         self.gossip_hosts: list[str] = []
@@ -208,7 +218,7 @@
         many send as may do so at the same time.
         """
         if self.gossip_hosts:
-            return self._fixed_share(upstream, limited)
+            return self._fixed_share(upstream, limited) * self.contact_fraction
         demand = limited.peer_demand.fresh(now)
         demand[self._host] = limited.reported_demand
         rate_per_s = limited.rate_per_s
@@ -218,7 +228,7 @@
         elif rate_per_s < LOW_RATE_PER_S:
             demand = _demand_of_first(demand, upstream, LOW_RATE_HOSTS)
         own, total = demand.get(self._host, 0.0), sum(demand.values())
-        share = own / total if total else 0.0
+        share = self.contact_fraction * own / total if total else 0.0
         if now - limited.learned_at < LEARN_S:
             return min(share, 1.0 / max(1, self.host_count))
         return share
--- a/tests/unit/gateway/hostfleet.py
+++ b/tests/unit/gateway/hostfleet.py
@@ -15,12 +15,18 @@
 from twisted.internet.task import Clock
 
 from samphirebend.addresses import Address
+from samphirebend.gateway.budgets import ColdLimit
 from samphirebend.gateway.eraversion import pack, store_version
 from samphirebend.gateway.hostlist import HostList
 from samphirebend.gateway.invalidrows import InvalidRows
 from samphirebend.gateway.members import Member, Members
 from samphirebend.gateway.quotagate import QuotaGate
 from samphirebend.gateway.quotas import QuotaLimit, Quotas
+from samphirebend.gateway.ratelimits import (
+    RateLimits,
+    decode_reports,
+    encode_reports,
+)
 from samphirebend.gateway.replica import Row
 from samphirebend.gateway.rowstore import Page, RowChange, StoreFault
 
@@ -28,6 +34,11 @@
 WINDOW_S, OVER, SLACK = 5.0, 0.1, 20.0
 RATE_PER_S, BURST = 40.0, 10.0
 ALLOWED: Final = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVER) + SLACK
+# An upstream that names a limit, and what it takes in a window.
+UPSTREAM, LIMIT_PER_S, LIMIT_WINDOW_S = 7, 20.0, 4.0
+LIMITED_ALLOWED: Final = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+COLD_PER_S: Final = 2.5
+COLD_ALLOWED: Final = COLD_PER_S * 1.5 + 5.0  # requests to a cold upstream in 1 s
 HEARTBEAT_S: Final = 0.5
 MAINTENANCE_S: Final = 0.2
 # Time from the statement that a host stops to the end of its process.
@@ -126,6 +137,8 @@
         quotas.set_limits({CUSTOMER: QuotaLimit(RATE_PER_S, BURST)}, clock.seconds())
         self.gate = QuotaGate(quotas, clock.seconds)
         self.hosts = quotas.hosts
+        self.limits = RateLimits(name)
+        self.cold_limit = ColdLimit(1.5, 5.0)
         self.host_list = HostList(
             StoreClient(fleet.store, name, clock),
             self.members,
@@ -149,6 +162,8 @@
         self.fleet.clock.callLater(MAINTENANCE_S, self._maintain)
         if self.runs:
             self.gate.update(self.members, self.fleet.clock.seconds())
+            self.limits.host_count = self.members.count()
+            self.limits.contact_fraction = self.members.contact_fraction
             self.host_list.check()
 
     def _beat(self) -> None:
@@ -162,17 +177,20 @@
         own = self.members.own
         own.sequence += 1
         data = self.gate.encode_report()
+        limits = encode_reports(self.limits.reports(now))
         self.members.drop_silent(now)
         for host in list(self.fleet.hosts.values()):
             # A host that is heard first is answered at once.
             is_known = self.knows(host) or host.knows(self)
             if is_known and self.fleet.delivers(self, host):
-                self.fleet.clock.callLater(0.03, host.receive, self, own.sequence, data)
+                self.fleet.clock.callLater(
+                    0.03, host.receive, self, own.sequence, data, limits
+                )
 
     def knows(self, host: Host) -> bool:
         return any(member.host == host.name for member in self.members.others())
 
-    def receive(self, sender: Host, sequence: int, data: bytes) -> None:
+    def receive(self, sender: Host, sequence: int, data: bytes, limits: bytes) -> None:
         if not self.runs:
             return
         own = sender.members.own
@@ -182,12 +200,33 @@
         member.ready = own.ready
         if self.members.record_heartbeat(member, self.fleet.clock.seconds()):
             self.gate.merge(own.host, own.incarnation, data)
+            reports = decode_reports(limits)
+            self.limits.merge(own.host, reports, self.fleet.clock.seconds())
 
     def ask(self) -> None:
         """Ask for a token; count the request if it may be sent."""
         self.fleet.asked += 1
         if not self.gate.take(CUSTOMER).wait_s:
             self.fleet.record_served()
+        self._ask_limited()
+
+    def _ask_limited(self) -> None:
+        """Send a request to the limited upstream, if its limit allows it."""
+        now = self.fleet.clock.seconds()
+        self.limits.record_demand(UPSTREAM, now)
+        if self.limits.allows(UPSTREAM, now):
+            self.limits.take(UPSTREAM, now)
+            self.limits.record_response(UPSTREAM, LIMIT_PER_S, now)
+            self.fleet.record_limited()
+
+    def cold_requests(self, upstream: str) -> int:
+        """Return how many requests this host may send to a cold upstream at once."""
+        now, count = self.fleet.clock.seconds(), 0
+        hosts, position = self.members.count(), self.members.share_position(upstream)
+        while self.cold_limit.allows(upstream, COLD_PER_S, hosts, position, now):
+            self.cold_limit.record_sent(upstream, now)
+            count += 1
+        return count
 
 
 class Fleet:
@@ -206,6 +245,8 @@
         self.most = 0.0  # largest part of the allowed requests in any window
         self.asked = self.served = 0  # requests
         self._window: deque[float] = deque()
+        self.limited_at: deque[float] = deque()  # requests to the limited upstream
+        self.most_limited = 0.0  # as `most`, of its limit
         self._processes = 0
         for number, region in enumerate(regions):
             self.start(f"h{number}", region)
@@ -284,6 +325,14 @@
             self._window.popleft()
         self.most = max(self.most, len(self._window) / ALLOWED)
 
+    def record_limited(self) -> None:
+        now = self.clock.seconds()
+        self.limited_at.append(now)
+        while self.limited_at[0] <= now - LIMIT_WINDOW_S:
+            self.limited_at.popleft()
+        part = len(self.limited_at) / LIMITED_ALLOWED
+        self.most_limited = max(self.most_limited, part)
+
     def served_share(self, for_s: float) -> float:
         """Run for a time; return the part of what is due that is served.
 
--- a/tests/unit/gateway/test_lost_hosts.py
+++ b/tests/unit/gateway/test_lost_hosts.py
@@ -18,7 +18,13 @@
     REMOVE_S,
 )
 
-from .hostfleet import RATE_PER_S, Fleet
+from .hostfleet import (
+    COLD_ALLOWED,
+    LIMIT_PER_S,
+    LIMIT_WINDOW_S,
+    RATE_PER_S,
+    Fleet,
+)
 
 SEVEN = "abcabca"  # regions of seven hosts
 SETTLE_S = 12.0
@@ -58,13 +64,29 @@
 
 
 def check(fleet: Fleet, for_s: float = 10.0) -> None:
-    """Check that the quota is kept and used, and that no row is left behind."""
+    """Check that limits are kept and used, and that no row is left behind."""
     served = fleet.served_share(for_s)
     assert fleet.most <= 1.0
+    assert fleet.most_limited <= 1.0
+    used = len(fleet.limited_at) / (LIMIT_PER_S * LIMIT_WINDOW_S)
+    if fleet.demand_per_s > 2.0 * LIMIT_PER_S:
+        assert used >= MIN_USED
+    assert sum(0.8 / host.members.count() for host in fleet.hosts.values()) >= 0.75
+    # The parts of a small limit are whole requests.
+    cold = [count_cold(fleet, f"cold{number}") for number in range(20)]
+    assert sum(cold) >= len(cold) * min(len(fleet.hosts), COLD_ALLOWED / 2)
+    assert max(cold) <= COLD_ALLOWED
     assert served >= (MIN_SERVED if fleet.demand_per_s < RATE_PER_S else MIN_USED)
     assert fleet.store.present() == set(fleet.hosts)
 
 
+def count_cold(fleet: Fleet, upstream: str) -> int:
+    """Return how many requests all hosts together may send to a cold upstream."""
+    return sum(
+        host.cold_requests(upstream) for host in fleet.hosts.values() if host.runs
+    )
+
+
 @pytest.mark.parametrize("demand_per_s", [USUAL, HEAVY], ids=["usual", "heavy"])
 @pytest.mark.parametrize("restarts", [False, True], ids=["running", "restarted"])
 @pytest.mark.parametrize("leave", [stop, kill])
@@ -188,6 +210,22 @@
     check(fleet)
 
 
+@pytest.mark.parametrize("has_store", [True, False], ids=["store", "no store"])
+@pytest.mark.parametrize("lost", LEAVING)
+def test_parts_of_other_limits_add_up_to_one_in_a_partition(
+    lost: str, has_store: bool
+) -> None:
+    """Guards the retry budget and cold upstreams against both sides' shares."""
+    fleet = settled()
+    fleet.cut(*LEAVING[lost], store=has_store)
+    for second in range(int(REMOVE_DISTANT_S) + 60):
+        fleet.run(1.0)
+        parts = [0.8 / host.members.count() for host in fleet.hosts.values()]
+        assert sum(parts) <= 1.001, second
+        if second % 10 == 0:
+            assert count_cold(fleet, f"cold{second}") <= COLD_ALLOWED
+
+
 @pytest.mark.parametrize("leave", [stop, kill])
 def test_host_that_is_lost_while_the_store_is_away_costs_no_other_region(
     leave: Leave,
