Divide quotas by the capacity that a host has registered

Cause: each host keeps the first capacity that it hears of another one, but the restarted host divides by its own new one.

Change: the weight stands in the registration, which a restart does not change, and all hosts divide by it. Rows of earlier releases have none; then the capacity in the heartbeats counts as before.

--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Final
@@ -22,7 +23,7 @@
 from .eraversion import era_of
 from .invalidrows import InvalidRows
 from .members import Member, Members
-from .quotahosts import QuotaHosts, Removal
+from .quotahosts import QuotaHosts, Removal, weight_of
 from .registrations import Registration
 from .replica import Row
 from .rowstore import Page, RowChange, RowStore, StoreFault
@@ -54,6 +55,7 @@
     # Rows of earlier releases are those of hosts that count in majorities.
     voter: bool = True
     stopped: bool = False
+    weight: float = 0.0  # see `Registration`
 
 
 class HostList:
@@ -306,6 +308,10 @@
         own = self._members.own
         row = ListedHost(own.zone, own.region, str(own.front), str(own.peer))
         row.voter, row.stopped = is_voter, is_stopped
+        registered = self._hosts.registrations.own
+        row.weight = weight_of(own.capacity_per_s)
+        if registered is not None:
+            row.weight = registered.weight
         return msgspec.json.encode(row)
 
     async def _refresh(self) -> bool:
@@ -368,8 +374,16 @@
         member = Member(host, listed.zone, listed.region)
         member.front, member.peer = front, peer
         self._members.add_listed(member)
+        weight = listed.weight if 0.0 < listed.weight < math.inf else 0.0
         return Ok(
-            Registration(host, listed.region, row.version, listed.voter, listed.stopped)
+            Registration(
+                host,
+                listed.region,
+                row.version,
+                listed.voter,
+                listed.stopped,
+                weight,
+            )
         )
 
     def _reject(self, host: str, fault: str) -> Err[InvalidRow]:
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -62,6 +62,7 @@
     __slots__ = (
         "_added_at",
         "_confirmed_since",
+        "_digest",
         "_fingerprints",
         "_heard_at",
         "_host",
@@ -112,6 +113,7 @@
         self._silent_at = -math.inf  # when some host was silent last
         # Weights of the hosts whose capacity is known.
         self._weights: dict[str, float] = {}
+        self._digest = 0  # of the registrations at the last update
         self.names: set[str] = {host}  # hosts with a share
         self.version = 0  # changes with `names`
         self.contact = Contact()
@@ -132,6 +134,9 @@
         `complete` tells whether the list of all hosts has been read.
         """
         self._forget_absent(heard_at)
+        if self.registrations.digest != self._digest:
+            self._digest = self.registrations.digest
+            self.version += 1
         if now - self._updated_at >= SUSPENDED_S:
             self._restart_observation(now)
         for host, at in heard_at.items():
@@ -163,22 +168,25 @@
     def record_capacity(self, host: str, capacity_per_s: float) -> None:
         """Record how many requests a host sustains, as it says at first.
 
-        Callers are sent to hosts by their capacity, so shares follow it. It is
-        rounded to a power of two, and later changes do not count, since hosts
-        that differ in the weights could together exceed a quota.
+        Callers are sent to hosts by their capacity, so shares follow it. Later
+        changes do not count, since hosts that differ in the weights could together
+        exceed a quota.
         """
-        if host not in self._weights and 0.0 < capacity_per_s < math.inf:
-            self._weights[host] = 2.0 ** math.floor(math.log2(capacity_per_s))
+        weight = weight_of(capacity_per_s)
+        if host not in self._weights and weight:
+            self._weights[host] = weight
             self.version += 1
 
     def weights(self) -> dict[str, float]:
         """Return the weights of all hosts with a share.
 
-        One whose capacity is not known yet counts as the largest, so that the
-        others leave it at least what it takes itself.
+        The one in the registration counts, which all hosts know alike. One whose
+        capacity is not known yet counts as the largest, so that the others leave
+        it at least what it takes itself.
         """
-        largest = max(self._weights.values(), default=1.0)
-        return {host: self._weights.get(host, largest) for host in self.names}
+        known = self._weights | self.registrations.weights()
+        largest = max(known.values(), default=1.0)
+        return {host: known.get(host, largest) for host in self.names}
 
     # Reports.
 
@@ -482,5 +490,16 @@
         self.version += 1
 
 
+def weight_of(capacity_per_s: float) -> float:
+    """Return the weight for a capacity, rounded to a power of two; 0: unknown.
+
+    >>> weight_of(700.0), weight_of(0.0)
+    (512.0, 0.0)
+    """
+    if not 0.0 < capacity_per_s < math.inf:
+        return 0.0
+    return 2.0 ** math.floor(math.log2(capacity_per_s))
+
+
 def _votes(host: int, reports: list[Mapping[int, float]]) -> int:
     return sum(silences.get(host, 0.0) >= REMOVE_S for silences in reports)
--- a/samphirebend/gateway/registrations.py
+++ b/samphirebend/gateway/registrations.py
@@ -38,15 +38,25 @@
         "stopped_since",
         "unchanged_since",
         "version",
+        "weight",
     )
 
     def __init__(
-        self, host: str, region: str, version: int, is_voter: bool, is_stopped: bool
+        self,
+        host: str,
+        region: str,
+        version: int,
+        is_voter: bool,
+        is_stopped: bool,
+        weight: float = 0.0,
     ) -> None:
         self.host = host
         self.region = region
         self.version = version
         self.is_voter = is_voter
+        # Part of the quotas, relative to that of other hosts; 0: not stated. It does
+        # not change while the host is registered.
+        self.weight = weight
         # Whether the host has stated that it stops and uses no share any more.
         self.is_stopped = is_stopped
         # When this version, and a stopped one, was first seen.
@@ -83,7 +93,7 @@
         self.version = 0  # version of the table up to which this is complete
         self.hosts: frozenset[str] = frozenset()  # all registered hosts
         self.voters: frozenset[str] = frozenset()
-        # Of the hosts and the voters. Stops are left out, as most hosts return.
+        # Of hosts, voters and weights. Stops are left out, as most hosts return.
         self.digest = 0
 
     @property
@@ -100,6 +110,10 @@
         """Return the registration of a host, or None."""
         return self._rows.get(host)
 
+    def weights(self) -> dict[str, float]:
+        """Return the weights that hosts have stated."""
+        return {host: row.weight for host, row in self._rows.items() if row.weight}
+
     def others(self) -> list[Registration]:
         """Return the registrations of the other hosts."""
         return [row for host, row in self._rows.items() if host != self._host]
@@ -171,7 +185,7 @@
         self.voters = voters or self.hosts
         digest = 0
         for host, row in self._rows.items():
-            digest ^= fingerprint(f"{host} {row.is_voter}")
+            digest ^= fingerprint(f"{host} {row.is_voter} {row.weight}")
         if digest != self.digest:
             self._earlier.append(self.digest)
             self.digest = digest
