Move what hosts hear of each other into a module of its own

A host that was just read from the list is not silent, as before. No change of behaviour: tests of the fleet models pass.

--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -176,7 +176,7 @@
     def _watches_silent(self, now: float) -> bool:
         """Return whether this host is among the first to delete a silent one's row."""
         return any(
-            self._hosts.is_silent(row.host, now) and self._rank(row.host) == 0
+            self._hosts.silences.is_silent(row.host, now) and self._rank(row.host) == 0
             for row in self._hosts.registrations.others()
         )
 
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -22,15 +22,11 @@
     REMOVE_S,
     Contact,
 )
-from .observations import fingerprint
 from .registrations import Registration, Registrations
+from .silences import GOSSIP_SILENT_S, MAX_REPORTED_S, SILENT_S, Silences
 
-# Time without a heartbeat after which a host is reported as silent. It is above
-# the 1.5 s in which a host sends three heartbeats.
-SILENT_S: Final = 2.0
-# The same where most heartbeats are relayed.
-GOSSIP_SILENT_S: Final = 10.0
-# Factor on REMOVE_S there: a host hears late from others that they miss it.
+# Factor on REMOVE_S where most heartbeats are relayed: a host hears late from others
+# that they miss it.
 GOSSIP_REMOVE_FACTOR: Final = 4.0
 # Age at which a process begins to use the tokens that are released to it. Hosts
 # that had no share reserved for it have said so by then.
@@ -43,8 +39,6 @@
 # Divisor of what a host uses that others may have removed, of limits with a margin
 # for it.
 REMOVED_FACTOR: Final = 4
-# Highest age in a report.
-MAX_REPORTED_S: Final = 255
 
 
 @unique
@@ -63,15 +57,11 @@
         "_added_at",
         "_confirmed_since",
         "_digest",
-        "_fingerprints",
-        "_heard_at",
         "_host",
         "_is_known",
         "_is_released",
         "_listed_at",
-        "_silences",
         "_silent_at",
-        "_silent_since",
         "_start_delay_s",
         "_updated_at",
         "_usable_from",
@@ -84,6 +74,7 @@
         "is_stopped",
         "names",
         "registrations",
+        "silences",
         "version",
     )
 
@@ -101,15 +92,8 @@
         self._is_released = True
         # Hosts that had no share reserved, and when they were added to `names`.
         self._added_at: dict[str, float] = {}
-        self._heard_at: dict[str, float] = {}  # heartbeats of other hosts
-        # Times from which the silence of other hosts is counted: the last heartbeat,
-        # or later, when this process learned of the host or was suspended.
-        self._silent_since: dict[str, float] = {}
-        self._fingerprints: dict[str, int] = {host: fingerprint(host)}
         # Since when other hosts have been in contact without a break.
         self._confirmed_since: dict[str, float] = {}
-        # Silent hosts that a host has reported, by their fingerprints.
-        self._silences: dict[str, Mapping[int, float]] = {}
         self._silent_at = -math.inf  # when some host was silent last
         # Weights of the hosts whose capacity is known.
         self._weights: dict[str, float] = {}
@@ -118,6 +102,7 @@
         self.version = 0  # changes with `names`
         self.contact = Contact()
         self.registrations = Registrations(host)
+        self.silences = Silences(host)
         # Whether another host has told of a newer list of hosts.
         self.is_list_outdated = False
         # Whether the list has to be read before this host may use its share again.
@@ -133,6 +118,8 @@
 
         `complete` tells whether the list of all hosts has been read.
         """
+        meshed = self.divides_by_contact
+        self.silences.silent_s = SILENT_S if meshed else GOSSIP_SILENT_S
         self._forget_absent(heard_at)
         if self.registrations.digest != self._digest:
             self._digest = self.registrations.digest
@@ -141,8 +128,8 @@
             self._restart_observation(now)
         for host, at in heard_at.items():
             if host != self._host:
-                self._record_heard(host, at, now)
-                if host not in self.names and not self.is_silent(host, now):
+                self.silences.record_heard(host, at, now)
+                if host not in self.names and not self.silences.is_silent(host, now):
                     self._set_names(self.names | {host})
                     if self._is_known:
                         self._added_at[host] = now
@@ -158,13 +145,6 @@
             self._check_contact(now)
             self._remove_silent(now)
 
-    def _record_heard(self, host: str, at: float, now: float) -> None:
-        """Record when a host was heard last; zero stands for never."""
-        since = self._silent_since.get(host, now)
-        self._silent_since[host] = max(since, at) if at else since
-        if at:
-            self._heard_at[host] = max(self._heard_at.get(host, at), at)
-
     def record_capacity(self, host: str, capacity_per_s: float) -> None:
         """Record how many requests a host sustains, as it says at first.
 
@@ -196,41 +176,29 @@
         Zero stands for a host that had no share reserved until lately.
         """
         if silences and 0 in silences.values():
-            if silences.get(self._fingerprint(self._host)) == 0:
+            if silences.get(self.silences.own_number) == 0:
                 self._is_released = False
             silences = {number: age_s for number, age_s in silences.items() if age_s}
-        self._silences[host] = silences
+        self.silences.record_report(host, silences)
 
     def record_digest(self, digest: int) -> None:
         """Record which list of hosts another host has."""
         if self.registrations.is_newer(digest):
             self.is_list_outdated = True
 
-    def reported_by(self, host: str) -> Mapping[int, float]:
-        """Return the silent hosts that a host has reported, by fingerprint."""
-        return self._silences.get(host, {})
-
-    def silences(self, now: float) -> dict[int, float]:
-        """Return the time since silent hosts were heard, by fingerprint."""
-        return {
-            self._fingerprint(host): now - since
-            for host, since in self._silent_since.items()
-            if now - since >= self._silent_s
-        }
-
     def to_report(self, now: float) -> dict[int, float]:
         """Return what `record_silences` of other hosts expects.
 
         A host that reports itself asks not to be counted in a majority.
         """
         added = {
-            self._fingerprint(host): 0.0
+            self.silences.fingerprint(host): 0.0
             for host, at in self._added_at.items()
             if now - at < self._start_delay_s
         }
         if self.contact.is_uncertain(now):
-            added[self._fingerprint(self._host)] = MAX_REPORTED_S
-        return added | self.silences(now)
+            added[self.silences.own_number] = MAX_REPORTED_S
+        return added | self.silences.silent(now)
 
     def has_news(self, now: float) -> bool:
         """Return whether other hosts need this host's reports."""
@@ -276,22 +244,13 @@
             return None
         # At least half of the hosts, and one other, have had the chance to say
         # that no share was reserved.
-        reporting = sum(host in self.names for host in self._silences)
+        reporting = len(self.names.intersection(self.silences.reporting()))
         if 2 * (1 + reporting) < len(self.names):
             return None
         if age_s < RELEASE_AFTER_S or not (reporting or len(self.names) == 1):
             return None
         return age_s
 
-    def heard(self, now: float) -> list[str]:
-        """Return the other hosts that are in contact."""
-        silent_s = self._silent_s
-        return [host for host, at in self._heard_at.items() if now - at < silent_s]
-
-    def is_silent(self, host: str, now: float) -> bool:
-        """Return whether another host is not in contact."""
-        return now - self._silent_since.get(host, -math.inf) >= self._silent_s
-
     # Registrations.
 
     def is_promotable(self) -> bool:
@@ -300,7 +259,9 @@
         if own is None or own.is_voter:
             return False
         now = self._updated_at
-        return 2 * self._count_support(self._confirming(now), voters) > len(voters)
+        return 2 * self._count_support(self.silences.confirming(now), voters) > len(
+            voters
+        )
 
     def removable(self, now: float) -> dict[str, Removal]:
         """Return the hosts whose registrations this host may delete, and why."""
@@ -309,7 +270,7 @@
         found = {}
         for row in self.registrations.others():
             removal = None
-            if not row.is_lost and self.is_silent(row.host, now):
+            if not row.is_lost and self.silences.is_silent(row.host, now):
                 removal = self._find_removal(row, now)
             if removal is not None:
                 found[row.host] = removal
@@ -318,7 +279,7 @@
     def _find_removal(self, row: Registration, now: float) -> Removal | None:
         if row.is_stopped and now - row.stopped_since >= self._start_delay_s:
             return Removal.STOPPED
-        silent_s = now - self._silent_since.get(row.host, now)
+        silent_s = self.silences.silence_s(row.host, now)
         if row.host not in self.names and silent_s >= REMOVE_S:
             return Removal.OUTVOTED
         remove_s = self._remove_after_s(row)
@@ -338,13 +299,10 @@
         return remove_s if self.divides_by_contact else remove_s * GOSSIP_REMOVE_FACTOR
 
     def _all_miss(self, host: str, least_s: float, now: float) -> bool:
-        """Return whether all hosts in contact report a host as silent."""
+        """Return whether no host in contact hears another."""
         if not self.divides_by_contact:
             return True  # the relayed heartbeats of the host would reach this one
-        number = self._fingerprint(host)
-        least_s = min(least_s, MAX_REPORTED_S)
-        heard = self.heard(now)
-        return all(self.reported_by(h).get(number, 0.0) >= least_s for h in heard)
+        return self.silences.all_miss(host, least_s, now)
 
     def confirm_list(self, now: float) -> None:
         """Record that this host has read the list, which has its registration."""
@@ -354,28 +312,14 @@
 
     # Contact.
 
-    @property
-    def _silent_s(self) -> float:
-        return SILENT_S if self.divides_by_contact else GOSSIP_SILENT_S
-
-    def _fingerprint(self, host: str) -> int:
-        number = self._fingerprints.get(host)
-        if number is None:
-            number = self._fingerprints[host] = fingerprint(host)
-        return number
-
     def _forget_absent(self, heard_at: Mapping[str, float]) -> None:
         """Forget hosts that are not members any more."""
-        absent = self._silent_since.keys() - heard_at.keys()
+        absent = self.silences.forget_absent(heard_at.keys())
         if not absent:
             return
         for host in absent:
-            self._heard_at.pop(host, None)
-            self._silent_since.pop(host, None)
-            self._silences.pop(host, None)
             self._weights.pop(host, None)
             self._added_at.pop(host, None)
-            self._fingerprints.pop(host, None)
         self._set_names(self.names - absent)
 
     def _restart(self, now: float) -> None:
@@ -389,8 +333,7 @@
         self.awaits_list = self.registrations.is_read
 
     def _restart_observation(self, now: float) -> None:
-        for host in self._silent_since:
-            self._silent_since[host] = now
+        self.silences.restart(now)
         self.registrations.restart_observation(now)
 
     def _voters(self) -> set[str]:
@@ -399,33 +342,23 @@
             return self.names
         return (self.names & self.registrations.voters) or self.names
 
-    def _confirming(self, now: float) -> set[str]:
-        """Return the hosts in contact that also hear this host."""
-        own = self._fingerprint(self._host)
-        return {host for host in self.heard(now) if own not in self.reported_by(host)}
-
-    def _is_certain(self, host: str) -> bool:
-        """Return whether a host may count in a majority."""
-        reported = self.reported_by(host)
-        return not reported or self._fingerprint(host) not in reported
-
     def _count_support(self, hosts: set[str], voters: frozenset[str] | set[str]) -> int:
         """Count the voters among some hosts and this one."""
         return len(hosts & voters) + (self._host in voters)
 
     def _check_contact(self, now: float) -> None:
-        confirming, voters = self._confirming(now), self._voters()
+        confirming, voters = self.silences.confirming(now), self._voters()
         self._confirmed_since = {
             host: self._confirmed_since.get(host, now) for host in confirming
         }
-        certain = set(filter(self._is_certain, confirming))
+        certain = set(filter(self.silences.is_certain, confirming))
         is_meshed = self.divides_by_contact
         majority = 2 * self._count_support(certain, voters) >= len(voters)
         reachable = 2 * self._count_support(confirming, voters) >= len(voters)
         missing = self.registrations.hosts - confirming - {self._host}
         if not is_meshed:
             # A heartbeat of each host may take a minute to arrive for the first time.
-            missing &= self._heard_at.keys()
+            missing = frozenset(filter(self.silences.was_heard, missing))
         kept = self._was_kept and self.contact.keeps_share(now)
         self.contact.update(
             majority or not is_meshed,
@@ -466,21 +399,24 @@
         return row is not None and row.region == self.registrations.own_region
 
     def _remove_silent(self, now: float) -> None:
-        own = self.silences(now)
+        silences = self.silences
+        own = silences.silent(now)
         if own:
             self._silent_at = now
         if not self.divides_by_contact or max(own.values(), default=0.0) < REMOVE_S:
             return
         voters = self._voters()
-        heard = [host for host in self.heard(now) if host in voters]
-        reports = [self.reported_by(host) for host in filter(self._is_certain, heard)]
+        heard = [host for host in silences.heard(now) if host in voters]
+        reports = [
+            silences.reported_by(host) for host in heard if silences.is_certain(host)
+        ]
         if self._host in voters and not self.contact.is_uncertain(now):
             reports.append(own)
         silent = {
             host
             for host in self.names
-            if own.get(self._fingerprint(host), 0.0) >= REMOVE_S
-            and 2 * _votes(self._fingerprint(host), reports) > len(voters)
+            if own.get(silences.fingerprint(host), 0.0) >= REMOVE_S
+            and 2 * _votes(silences.fingerprint(host), reports) > len(voters)
         }
         if silent:
             self._set_names(self.names - silent)
--- a/samphirebend/gateway/quotas.py
+++ b/samphirebend/gateway/quotas.py
@@ -422,7 +422,7 @@
             return []
         free = self._free(account, 0.0, now)
         reserve = RESERVE_S * demand + 0.5 * math.sqrt(demand)
-        givers = max(1, len(self.hosts.heard(now)) + 1 - len(wants))
+        givers = max(1, len(self.hosts.silences.heard(now)) + 1 - len(wants))
         most = GIVE_PACE * share / self._window_s * interval_s
         asked = sum(wants.values()) * interval_s / givers
         if share <= SMALL_SHARE:
--- a/tests/unit/gateway/test_lost_hosts.py
+++ b/tests/unit/gateway/test_lost_hosts.py
@@ -137,16 +137,9 @@
         assert host.members.count() == len(fleet.hosts)
         others = set(fleet.hosts) - {host.name}
         assert {member.host for member in host.members.others()} == others
-        kept = [
-            len(getattr(host.hosts, name))
-            for name in (
-                "_added_at",
-                "_fingerprints",
-                "_heard_at",
-                "_silences",
-                "_silent_since",
-            )
-        ]
+        kept = [len(host.hosts._added_at), len(host.hosts._weights)]
+        for name in ("_fingerprints", "_heard_at", "_reports", "_silent_since"):
+            kept.append(len(getattr(host.hosts.silences, name)))
         assert max(kept) <= len(fleet.hosts)
 
 
--- a/tests/unit/gateway/test_quotagate.py
+++ b/tests/unit/gateway/test_quotagate.py
@@ -170,7 +170,7 @@
     heartbeat.host, heartbeat.quotas = "h1", encode_report(report)
     heartbeat.sequence += 1
     peers.datagramReceived(msgspec.msgpack.encode(heartbeat), ("127.0.0.1", 1))
-    silences = quotas.hosts.reported_by("h1")
+    silences = quotas.hosts.silences.reported_by("h1")
     assert silences == {fingerprint("h0"): 3}
 
 
