--- a/samphirebend/gateway/app.py
+++ b/samphirebend/gateway/app.py
@@ -50,6 +50,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.35
 MAINTENANCE_INTERVAL_S: Final = 0.2
+# Limit for the statement that this host stops, in the host list.
+MARK_STOPPED_S: Final = 1.5
 # Time after which the state of a removed upstream is deleted.
 DROP_REMOVED_AFTER_S: Final = 20.0
 # Minimum time between log lines that report dropped lines.
@@ -203,6 +205,8 @@
 
     def _begin_mark_stopped(self) -> None:
         marking = Deferred.fromCoroutine(self.host_list.mark_stopped())
+        # The process must end in time, whatever the store does.
+        marking.addTimeout(MARK_STOPPED_S, self._reactor, lambda *_: None)
         self._marked_stopped = marking.addErrback(_log_bug)
 
     def _probe_rank(self, table: str) -> int:
--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -39,6 +39,7 @@
 REFRESH_OUTDATED_S: Final = 10.0
 REFRESH_SILENT_S: Final = 5.0
 REFRESH_CHANGE_S: Final = 2.0
+CHECK_INTERVAL_S: Final = 1.0  # time between two checks whether one is due
 # Time for which a host leaves a deletion to each host that is before it in the
 # order of the row.
 DELETION_STEP_S: Final = 4.0
@@ -62,6 +63,7 @@
     """Registers this host and learns the others from the list."""
 
     __slots__ = (
+        "_checked_at",
         "_clock",
         "_has_failed",
         "_hosts",
@@ -98,6 +100,7 @@
         self._is_joined = False
         self._is_calling = False  # a synchronization is in progress
         self._is_stopping = False
+        self._checked_at = 0.0  # last check whether a synchronization is due
         self._synced_at = 0.0  # end of the last synchronization
         self._has_failed = False  # the last synchronization could not read the list
         self._spread = 1.0  # factor on the usual interval, drawn for each one
@@ -129,6 +132,9 @@
         if not self._is_joined or self._is_calling or self._is_stopping:
             return
         now = self._clock()
+        if now - self._checked_at < CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
         if now - self._synced_at >= self._interval_s(now):
             self._is_calling = True
             done = Deferred.fromCoroutine(self._synchronize())
