Keep the limits of upstreams when hosts start without the store

Callers' requests reached an upstream that names a limit 1.2 times as often as the limit allows, with its tolerance, after seven hosts had restarted while the store was away.

Cause: a host that has not read the list of hosts and hears no other took itself for the only one, and used a quarter of the limit (the part of a host that others may have removed). Seven such hosts use 1.75 of it.

Ruled out: requests before the limit is known (each host learns it from the first response; the excess builds up in the 4 s after).

Change: until the list is read, the part is at most the known hosts divided by `Members.count()`, which assumes eight.

Evidence: the test fails without the change (1.2 of what is allowed) and passes with it.

--- a/samphirebend/gateway/quotagate.py
+++ b/samphirebend/gateway/quotagate.py
@@ -105,7 +105,10 @@
                 hosts.record_capacity(member.host, member.capacity_per_s)
         hosts.update(heard_at, members.host_list_read, now + difference_s)
         members.is_removed = hosts.is_removed(now + difference_s)
-        members.contact_fraction = hosts.contact_fraction(now + difference_s)
+        fraction = hosts.contact_fraction(now + difference_s)
+        # Without the list of hosts, others may be unknown.
+        known = len(hosts.names) / members.count()
+        members.contact_fraction = min(fraction, known)
         self._log_changes(now + difference_s)
 
     def _log_changes(self, now: float) -> None:
--- a/tests/unit/gateway/test_lost_hosts.py
+++ b/tests/unit/gateway/test_lost_hosts.py
@@ -236,6 +236,18 @@
     check(fleet)
 
 
+def test_hosts_that_start_without_the_store_keep_the_limits_of_upstreams() -> None:
+    """Guards against hosts that know no others and each take a quarter of a limit."""
+    fleet = settled()
+    fleet.store.refused = set(fleet.hosts)
+    fleet.run(3.0)
+    fleet.restart(*fleet.hosts)
+    fleet.run(6.0)
+    fleet.heal()
+    fleet.run(20.0)
+    assert fleet.most_limited <= 1.0
+
+
 @pytest.mark.parametrize("restarts_others", [False, True])
 def test_changed_capacity_changes_no_share(restarts_others: bool) -> None:
     """Guards against a host that divides by other weights after its restart."""
