--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -27,23 +27,39 @@
 from .registrations import Registration
 from .replica import Row
 from .rowstore import Page, RowChange, RowStore, StoreFault
+from .sharelease import LEASE_S
 from .updates import InvalidRow
 
 HOSTS_TABLE: Final = "hosts"
+REGISTRATION_BITS: Final = 32  # of the number of a registration
 CALL_TIMEOUT_S: Final = 1.5  # limit for one call to the store
 RETRY_DELAY_S: Final = 1.0  # delay after a failed call
-# Times between two readings of the list: usually, after another host has told of
-# a newer list, while a host is silent, and while the list is to be changed.
-REFRESH_S: Final = 60.0
+CHECK_INTERVAL_S: Final = 0.2  # time between two checks whether one is due
+# Times between two readings of the list: while there is something to change, or
+# another host has told of a newer list; and after one has failed.
+REFRESH_CHANGE_S: Final = 0.4
+REFRESH_FAILED_S: Final = 1.0
+# The same while no host's share depends on it, and while this host has none.
+REFRESH_FAILED_CALM_S: Final = 5.0
+REFRESH_MISSING_S: Final = 1.0
+# Delay after which an outdated list is read in fleets in which heartbeats reach a
+# few hosts only, so that the hosts do not all call at once.
+GOSSIP_OUTDATED_S: Final = 5.0
+# Ages of the confirmation of this host's share at which the list is read: by the
+# first live host, which tells the others, and by the others.
+RENEW_S: Final = 1.5
+RENEW_UNTOLD_S: Final = 2.75
+# Ages of the last reading by any host at which the list is read, so that all hosts
+# soon know of new ones, and of marks of their rows.
+REFRESH_S: Final = 3.0
+REFRESH_UNTOLD_S: Final = 6.0
 REFRESH_SPREAD: Final = (0.8, 1.2)  # factors on it, as hosts start together
-REFRESH_OUTDATED_S: Final = 10.0
-REFRESH_SILENT_S: Final = 5.0
-REFRESH_CHANGE_S: Final = 2.0
-CHECK_INTERVAL_S: Final = 1.0  # time between two checks whether one is due
-# Time for which a host leaves a deletion to each host that is before it in the
-# order of the row.
-DELETION_STEP_S: Final = 4.0
-MAX_DELETION_RANK: Final = 2
+# Key whose order of live hosts decides which one reads the list for all.
+READER_KEY: Final = "reader of the host list"
+# Time for which a host leaves a change of another's row to each host that is before
+# it in the order of the row.
+CHANGE_STEP_S: Final = 1.0
+MAX_CHANGE_RANK: Final = 2
 
 
 class ListedHost(msgspec.Struct):
@@ -53,27 +69,44 @@
     region: str
     front: str
     peer: str
-    # Rows of earlier releases are those of hosts that count in majorities.
-    voter: bool = True
+    voter: bool = True  # whether it is established; see `registrations`
     stopped: bool = False
+    suspected: bool = False
+    number: int = 0  # see `Registration`
     weight: float = 0.0  # see `Registration`
 
 
+class _Changes:
+    """Changes of other hosts' rows that are due."""
+
+    __slots__ = ("removals", "suspects")
+
+    def __init__(self, suspects: list[str], removals: dict[str, Removal]) -> None:
+        self.suspects = suspects  # hosts whose rows are to be marked
+        self.removals = removals  # hosts whose rows are to be deleted, and why
+
+    @property
+    def any(self) -> bool:
+        """Return whether a change is due."""
+        return bool(self.suspects or self.removals)
+
+
 class HostList:
     """Registers this host and learns the others from the list."""
 
     __slots__ = (
         "_checked_at",
         "_clock",
+        "_due_since",
         "_has_failed",
         "_hosts",
         "_invalid_rows",
         "_is_calling",
         "_is_joined",
         "_is_stopping",
+        "_listed",
         "_members",
         "_reactor",
-        "_removable_since",
         "_rng",
         "_spread",
         "_store",
@@ -94,7 +127,7 @@
         self._members = members
         self._invalid_rows = invalid_rows
         self._reactor = reactor
-        self._hosts = hosts or QuotaHosts(members.own.host, 0.0)
+        self._hosts = hosts or QuotaHosts(members.own.host, 0.0, 0.0)
         self._clock = clock
         self._rng = rng or random.Random()
         self._is_joined = False
@@ -104,8 +137,9 @@
         self._synced_at = 0.0  # end of the last synchronization
         self._has_failed = False  # the last synchronization could not read the list
         self._spread = 1.0  # factor on the usual interval, drawn for each one
-        # When registrations were first found to be removable, keyed by host.
-        self._removable_since: dict[str, float] = {}
+        self._listed: dict[str, ListedHost] = {}  # rows, keyed by host
+        # When it was found that rows are to be changed, keyed by host.
+        self._due_since: dict[str, float] = {}
 
     async def join(self, stopping: Callable[[], bool]) -> None:
         """Register this host, then read all rows; retry until both succeed.
@@ -132,10 +166,11 @@
         if not self._is_joined or self._is_calling or self._is_stopping:
             return
         now = self._clock()
-        if now - self._checked_at < CHECK_INTERVAL_S:
+        lease = self._hosts.lease
+        if now - self._checked_at < CHECK_INTERVAL_S * lease.lease_s / LEASE_S:
             return
         self._checked_at = now
-        if now - self._synced_at >= self._interval_s(now):
+        if self._is_due(now):
             self._is_calling = True
             done = Deferred.fromCoroutine(self._synchronize())
             done.addErrback(_log_bug)
@@ -148,60 +183,88 @@
         own = self._hosts.registrations.own
         if not self._is_joined or own is None:
             return
-        marked = await self._replace_own(own.version, own.is_voter, is_stopped=True)
+        marked = await self._replace_own(
+            own.version, own.is_established, is_stopped=True
+        )
         if isinstance(marked, Err) and marked.err_value is StoreFault.CONFLICT:
             # The version has changed since it was read, as by a renewal.
             await self._refresh()
             own = self._hosts.registrations.own
             if own is not None:
-                await self._replace_own(own.version, own.is_voter, is_stopped=True)
+                await self._replace_own(
+                    own.version, own.is_established, is_stopped=True
+                )
 
     # Synchronization.
 
-    def _interval_s(self, now: float) -> float:
-        """Return the time after the last synchronization at which one is due."""
+    def _is_due(self, now: float) -> bool:
+        """Return whether the list is to be read, or changed, now."""
         hosts = self._hosts
-        own = hosts.registrations.own
+        since_s = now - self._synced_at
+        part = hosts.lease.lease_s / LEASE_S
+        if since_s < REFRESH_CHANGE_S:
+            return False
+        if self._has_failed and since_s < REFRESH_FAILED_S * part:
+            return False
+        if hosts.registrations.own is None:
+            return since_s >= REFRESH_MISSING_S
+        if self._needs_confirmation(now):
+            return True
         if self._has_failed:
-            return REFRESH_SILENT_S
-        if own is None and not hosts.contact.is_reachable(now):
-            return REFRESH_OUTDATED_S
-        is_wrong = own is None or own.is_stopped or hosts.awaits_list
-        if is_wrong or hosts.is_promotable() or hosts.contact.needs_renewal(now):
-            return REFRESH_CHANGE_S
+            return since_s >= REFRESH_FAILED_CALM_S
         if hosts.is_list_outdated:
-            usual_s = REFRESH_OUTDATED_S
-        else:
-            usual_s = REFRESH_S * self._spread
-        if not hosts.has_news(now):
-            return usual_s
-        if self._due_removals(now):
-            return REFRESH_CHANGE_S
-        return REFRESH_SILENT_S if self._watches_silent(now) else usual_s
-
-    def _watches_silent(self, now: float) -> bool:
-        """Return whether this host is among the first to delete a silent one's row."""
-        return any(
-            self._hosts.silences.is_silent(row.host, now) and self._rank(row.host) == 0
-            for row in self._hosts.registrations.others()
-        )
+            is_meshed = hosts.divides_by_contact
+            return is_meshed or since_s >= GOSSIP_OUTDATED_S * self._spread
+        if self._must_replace_own() or self._due_changes(now).any:
+            return True
+        age_s = min(since_s, hosts.lease.list_age_s(now)) / self._spread
+        return age_s >= REFRESH_UNTOLD_S or (age_s >= REFRESH_S and self._is_reader())
+
+    def _needs_confirmation(self, now: float) -> bool:
+        """Return whether this host's share depends on a reading of the list."""
+        lease = self._hosts.lease
+        age_s = lease.age_s(now) * LEASE_S / lease.lease_s
+        return age_s >= RENEW_UNTOLD_S or (age_s >= RENEW_S and self._is_reader())
+
+    def _is_reader(self) -> bool:
+        """Return whether this host reads the list for the others."""
+        return self._rank(READER_KEY) == 0
+
+    def _must_replace_own(self) -> bool:
+        """Return whether this host has to write its row again."""
+        own = self._hosts.registrations.own
+        if own is None:
+            return False
+        return own.is_stopped or own.is_suspected or self._hosts.is_promotable()
 
-    def _rank(self, host: str) -> int:
-        """Return this host's rank among those that would delete a row."""
-        position = self._members.live_position(host, self._reactor.seconds())
-        return min(position, MAX_DELETION_RANK)
+    def _due_changes(self, now: float) -> _Changes:
+        """Return the changes of other rows that this host is to make now.
 
-    def _due_removals(self, now: float) -> dict[str, Removal]:
-        """Return the registrations that this host is to delete now."""
-        removable = self._hosts.removable(now)
-        self._removable_since = {
-            host: self._removable_since.get(host, now) for host in removable
+        Each host leaves them for some time to those before it in the order of the
+        row.
+        """
+        suspects, removals = self._hosts.suspects(now), self._hosts.removable(now)
+        self._due_since = {
+            host: self._due_since.get(host, now) for host in (*suspects, *removals)
         }
-        return {
-            host: removal
-            for host, removal in removable.items()
-            if now - self._removable_since[host] >= DELETION_STEP_S * self._rank(host)
+        mine = {
+            host
+            for host, since in self._due_since.items()
+            if now - since >= CHANGE_STEP_S * self._rank(host)
         }
+        return _Changes(
+            [host for host in suspects if host in mine],
+            {host: removal for host, removal in removals.items() if host in mine},
+        )
+
+    def _rank(self, key: str) -> int:
+        """Return this host's rank among those that would change a row.
+
+        Hosts that may not use their shares may lack the store.
+        """
+        lapsed, now = self._hosts.silences.lapsed, self._reactor.seconds()
+        position = self._members.live_position(key, now, but=lapsed)
+        return min(position, MAX_CHANGE_RANK)
 
     def _end_synchronization(self, _result: object) -> None:
         self._is_calling = False
@@ -213,14 +276,17 @@
         self._has_failed = not await self._refresh()
         if self._has_failed:
             return
-        registrations = self._hosts.registrations
-        if registrations.own is None:
+        if self._hosts.registrations.own is None:
             await self._replace_missing()
             return
-        if not registrations.own.is_stopped:
-            self._hosts.confirm_list(self._clock())
-        await self._update_own(registrations.own)
-        for host, removal in self._due_removals(self._clock()).items():
+        if self._must_replace_own():
+            await self._renew_own()
+        changes = self._due_changes(self._clock())
+        for host in changes.suspects:
+            await self._mark_suspected(host)
+        if changes.suspects:
+            await self._refresh()
+        for host, removal in changes.removals.items():
             await self._delete(host, removal)
 
     async def _replace_missing(self) -> None:
@@ -228,25 +294,45 @@
 
         A host that is still cut off waits, as a share would be reserved for it.
         """
-        if not self._hosts.contact.is_reachable(self._clock()):
+        hosts = self._hosts
+        hears_any = hosts.silences.heard_count(self._clock())
+        if hosts.registrations.hosts and not hears_any:
             return
         logger.warning(
             "registration of this host is missing",
             event="registration_missing",
-            version=self._hosts.registrations.version,
+            version=hosts.registrations.version,
         )
         await self._register()
 
-    async def _update_own(self, own: Registration) -> None:
-        """Renew this host's registration, or promote it, if that is due."""
-        is_promoted = self._hosts.is_promotable()
-        started_at = self._clock()
-        needs_renewal = self._hosts.contact.needs_renewal(started_at)
-        if not (is_promoted or needs_renewal or own.is_stopped):
+    async def _renew_own(self) -> None:
+        """Write this host's row without marks, and as established if it may be."""
+        own = self._hosts.registrations.own
+        if own is None:
+            return
+        is_established = own.is_established or self._hosts.is_promotable()
+        if own.is_suspected:
+            logger.warning(
+                "another host has marked this one as suspected", event="host_suspected"
+            )
+        await self._replace_own(own.version, is_established)
+        await self._refresh()
+
+    async def _mark_suspected(self, host: str) -> None:
+        """Mark the row of a silent host, which is deleted unless it is renewed."""
+        row, listed = self._hosts.registrations.get(host), self._listed.get(host)
+        if row is None or listed is None:
             return
-        written = await self._replace_own(own.version, own.is_voter or is_promoted)
+        marked = msgspec.structs.replace(listed, suspected=True)
+        change = RowChange(host, msgspec.json.encode(marked), row.version)
+        written = await self._store.change(HOSTS_TABLE, change, CALL_TIMEOUT_S)
         if not isinstance(written, Err):
-            self._hosts.contact.record_renewal(started_at)
+            logger.info(
+                "a silent host is marked as suspected",
+                event="host_marked",
+                peer=host,
+                silent_s=round(self._hosts.silences.silence_s(host, self._clock()), 1),
+            )
 
     async def _delete(self, host: str, removal: Removal) -> None:
         """Delete the registration of a host that is lost or has stopped."""
@@ -272,22 +358,20 @@
     async def _register(self) -> bool:
         """Write this host's row and read the list; return whether that succeeded.
 
-        A host that is registered stays a voter.
+        A host that is registered stays established.
         """
-        started_at = self._clock()
         own = self._hosts.registrations.own
-        row = self._encode_own(own is not None and own.is_voter)
+        row = self._encode_own(own is not None and own.is_established)
         change = RowChange(self._members.own.host, row, 0)
         written = await self._store.change(HOSTS_TABLE, change, CALL_TIMEOUT_S)
         is_known = isinstance(written, Err) and written.err_value is StoreFault.CONFLICT
         if isinstance(written, Err) and not is_known:
             return False
+        if own is None and not is_known:
+            self._hosts.begin_as_learner()
         if not await self._read_all():
             return False
-        if is_known and not await self._take_over_row():
-            return False
-        self._hosts.contact.record_renewal(started_at)
-        return True
+        return not is_known or await self._take_over_row()
 
     async def _take_over_row(self) -> bool:
         """Replace the row that an earlier process of this host has left.
@@ -297,33 +381,36 @@
         """
         own = self._hosts.registrations.own
         if own is None:
-            replaced = await self._replace_own(None, is_voter=False)
+            replaced = await self._replace_own(None, is_established=False)
         else:
-            replaced = await self._replace_own(own.version, own.is_voter)
-        return not isinstance(replaced, Err)
+            replaced = await self._replace_own(own.version, own.is_established)
+        if isinstance(replaced, Err):
+            return False
+        return await self._refresh()
 
     async def _replace_own(
-        self, version: int | None, is_voter: bool, is_stopped: bool = False
+        self, version: int | None, is_established: bool, is_stopped: bool = False
     ) -> Result[None, StoreFault]:
         """Replace this host's row if it has a version; None stands for any."""
-        value = self._encode_own(is_voter, is_stopped)
+        value = self._encode_own(is_established, is_stopped)
         change = RowChange(self._members.own.host, value, version)
         return await self._store.change(HOSTS_TABLE, change, CALL_TIMEOUT_S)
 
-    def _encode_own(self, is_voter: bool, is_stopped: bool = False) -> bytes:
+    def _encode_own(self, is_established: bool, is_stopped: bool = False) -> bytes:
         own = self._members.own
         row = ListedHost(own.zone, own.region, str(own.front), str(own.peer))
-        row.voter, row.stopped = is_voter, is_stopped
+        row.voter, row.stopped = is_established, is_stopped
         registered = self._hosts.registrations.own
         row.weight = weight_of(own.capacity_per_s)
+        row.number = self._rng.getrandbits(REGISTRATION_BITS)
         if registered is not None:
-            row.weight = registered.weight
+            row.weight, row.number = registered.weight, registered.number
         return msgspec.json.encode(row)
 
     async def _refresh(self) -> bool:
         """Read the changes of the list; return whether that succeeded."""
         registrations = self._hosts.registrations
-        started_at = self._reactor.seconds()
+        started_at, as_of = self._clock(), self._reactor.seconds()
         read = await self._store.follow(HOSTS_TABLE, registrations.version, 0.0)
         if isinstance(read, Err):
             if read.err_value is StoreFault.HISTORY_LOST:
@@ -334,26 +421,31 @@
             return await self._read_all()
         now = self._clock()
         deleted = [row.key for row in page.rows if row.value is None]
-        changed = self._decode_page(page)
-        registrations.update(changed, deleted, page.version, now)
-        self._hosts.is_list_outdated = page.is_limited
+        for host in deleted:
+            self._listed.pop(host, None)
+        registrations.update(self._decode_page(page), deleted, page.version, now)
         registrations.drop_lost(now)
-        self._update_members(started_at)
+        self._hosts.is_list_outdated = page.is_limited
+        if not page.is_limited:
+            self._hosts.confirm_by_list(started_at)
+        self._update_members(as_of)
         return True
 
     async def _read_all(self) -> bool:
         """Read the whole list; return whether that succeeded."""
-        started_at = self._reactor.seconds()
+        started_at, as_of = self._clock(), self._reactor.seconds()
         read = await self._store.read(HOSTS_TABLE, CALL_TIMEOUT_S)
         if isinstance(read, Err):
             return False
         page, now = read.ok_value, self._clock()
         registrations = self._hosts.registrations
+        self._listed.clear()
         registrations.replace(self._decode_page(page), page.version, now)
         registrations.drop_lost(now)
         self._hosts.is_list_outdated = False
+        self._hosts.confirm_by_list(started_at)
         self._members.host_list_read = True
-        self._update_members(started_at)
+        self._update_members(as_of)
         return True
 
     def _update_members(self, as_of: float | None = None) -> None:
@@ -380,6 +472,7 @@
         member = Member(host, listed.zone, listed.region)
         member.front, member.peer = front, peer
         self._members.add_listed(member)
+        self._listed[host] = listed
         weight = listed.weight if 0.0 < listed.weight < math.inf else 0.0
         return Ok(
             Registration(
@@ -389,6 +482,8 @@
                 listed.voter,
                 listed.stopped,
                 weight,
+                listed.suspected,
+                listed.number,
             )
         )
 
--- a/samphirebend/gateway/members.py
+++ b/samphirebend/gateway/members.py
@@ -10,6 +10,8 @@
 from .observations import fingerprint
 from .quotahosts import REMOVED_FACTOR
 from .rendezvous import score
+from .sharelease import CAUTION_S, MAX_LATENCY_S
+from .silences import SILENT_S
 
 # Time without a heartbeat after which a host counts as lost, so that callers
 # are sent to other hosts.
@@ -24,8 +26,9 @@
 GOSSIP_LIVENESS_TIMEOUT_S: Final = 4.0
 # Time without a heartbeat after which a host is deleted, if it is not registered.
 DROP_SILENT_AFTER_S: Final = 60.0
-# The same if the list of hosts has been read since the last heartbeat.
-DROP_UNREGISTERED_AFTER_S: Final = 5.0
+# The same if the list of hosts has been read since the last heartbeat. The host has
+# used its part of the retry budget with caution for the window of that by then.
+DROP_UNREGISTERED_AFTER_S: Final = SILENT_S + MAX_LATENCY_S + CAUTION_S + 10.0
 # Host count assumed until the list of hosts is read, so that this host's
 # shares of fleet-wide limits are not too large.
 ASSUMED_HOSTS: Final = 8
@@ -87,6 +90,7 @@
         "host_list_read",
         "is_removed",
         "own",
+        "without_share",
     )
 
     def __init__(self, own: Member, rng: random.Random) -> None:
@@ -103,6 +107,8 @@
         self._listed_at = 0.0
         # Whether other hosts may have divided this host's share of the limits.
         self.is_removed = False
+        # Hosts in contact that have no share of the limits, as they have said.
+        self.without_share: Collection[str] = frozenset()
         # Part of the limits of upstreams that may be used; see `quotahosts`.
         self.contact_fraction = 1.0
 
@@ -110,6 +116,10 @@
         """Record which hosts the list of hosts has as of a time."""
         self._registered, self._listed_at = hosts, as_of
 
+    def confirm_registered(self, as_of: float) -> None:
+        """Record that the list of hosts was still the same at a time."""
+        self._listed_at = max(self._listed_at, as_of)
+
     def add_listed(self, member: Member) -> None:
         """Add a host from the host list; it is not live before a heartbeat."""
         if member.host != self.own.host and member.host not in self._others:
@@ -192,7 +202,7 @@
 
     def count(self) -> int:
         """Return the number of hosts that share the fleet-wide limits."""
-        known = len(self._others) + 1
+        known = len(self._others.keys() - self.without_share) + 1
         if not self.host_list_read:
             return max(known, ASSUMED_HOSTS)
         # The part of a host that others may have removed is then within the
@@ -202,7 +212,8 @@
     def position(self, key: str) -> int:
         """Return this host's index in a key's rendezvous order of hosts."""
         own = score(self.own.host, key)
-        return sum(score(host, key) > own for host in self._others)
+        others = self._others.keys() - self.without_share
+        return sum(score(host, key) > own for host in others)
 
     def share_position(self, key: str) -> int:
         """Return this host's index in a key's order of the hosts with shares.
@@ -212,10 +223,13 @@
         position = self.position(key)
         return position * self.count() if self.is_removed else position
 
-    def live_position(self, key: str, now: float) -> int:
-        """Return this host's index in a key's order of live hosts."""
+    def live_position(
+        self, key: str, now: float, but: Collection[str] = frozenset()
+    ) -> int:
+        """Return this host's index in a key's order of live hosts but some."""
         own = score(self.own.host, key)
-        return sum(score(member.host, key) > own for member in self.live(now))
+        live = (member.host for member in self.live(now) if member.host not in but)
+        return sum(score(host, key) > own for host in live)
 
     def domain_leader(self, now: float) -> Member:
         """Return the live host that stands for this host's failure domain.
--- a/samphirebend/gateway/peers.py
+++ b/samphirebend/gateway/peers.py
@@ -286,8 +286,9 @@
             self._feedback.merge(
                 heartbeat.idle_limit_s, heartbeat.observations, suspects, now
             )
-            reports = decode_reports(heartbeat.limits)
-            self._feedback.rate_limits.merge(member.host, reports, now)
+            if member.host not in self._members.without_share:
+                reports = decode_reports(heartbeat.limits)
+                self._feedback.rate_limits.merge(member.host, reports, now)
             quota_gate = self._quota_gate
             quota_gate.merge(member.host, member.incarnation, heartbeat.quotas)
             self._feedback.merge_leaving(heartbeat.leaving, now)
--- a/samphirebend/gateway/quotagate.py
+++ b/samphirebend/gateway/quotagate.py
@@ -104,6 +104,8 @@
             if member.heard_at:
                 hosts.record_capacity(member.host, member.capacity_per_s)
         hosts.update(heard_at, members.host_list_read, now + difference_s)
+        members.confirm_registered(hosts.lease.list_at - difference_s)
+        members.without_share = hosts.without_share()
         members.is_removed = hosts.is_removed(now + difference_s)
         fraction = hosts.contact_fraction(now + difference_s)
         # Without the list of hosts, others may be unknown.
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -1,10 +1,9 @@
 """Hosts that have a share of the fleet-wide limits, and whether this host has one.
 
-Each host has a share of every limit, in contact or not, so a share may pass to
-other hosts only when its owner has certainly ceased to use it. Hosts tell each
-other which hosts are silent, and `contact` decides when a host gives up its share.
-A host loses it if more than half of the voters report it as silent for `REMOVE_S`,
-or when its registration is deleted.
+Shares are divided among the listed hosts, in contact or not. `sharelease` decides
+until when this host may use its share. A share passes to the other hosts when the
+registration of its host is deleted, which this module allows only once the host has
+certainly ceased to use it.
 """
 
 from __future__ import annotations
@@ -14,28 +13,28 @@
 from enum import Enum, unique
 from typing import Final
 
-from .contact import (
-    KEEP_SHARE_S,
-    REMOVE_BY_LEARNER_S,
-    REMOVE_DISTANT_BY_LEARNER_S,
-    REMOVE_DISTANT_S,
-    REMOVE_S,
-    Contact,
-)
+from .quotareports import QuotaReport
 from .registrations import Registration, Registrations
-from .silences import GOSSIP_SILENT_S, MAX_REPORTED_S, SILENT_S, Silences
+from .sharelease import (
+    CAUTION_S,
+    GOSSIP_LEASE_S,
+    LEASE_S,
+    MAX_LATENCY_S,
+    ShareLease,
+)
+from .silences import GOSSIP_SILENT_S, SILENT_S, Silences
 
-# Factor on REMOVE_S where most heartbeats are relayed: a host hears late from others
-# that they miss it.
-GOSSIP_REMOVE_FACTOR: Final = 4.0
-# Age at which a process begins to use the tokens that are released to it. Hosts
-# that had no share reserved for it have said so by then.
+# Age at which a process begins to use the tokens that are released to it.
 RELEASE_AFTER_S: Final = 1.0
 # Time between two updates from which this host takes itself for suspended, and
 # what it has not heard in that time for no sign of silence.
-SUSPENDED_S: Final = 5.0
-# Time after the last silence for which reports are still sent.
-REPORT_CALM_S: Final = 10.0
+SUSPENDED_S: Final = 1.0
+# Time for which a host that has renewed its registration is not suspected again.
+SUSPECT_AGAIN_S: Final = 1.0
+# Silence after which an established host of another region, which may be cut off and
+# not know of this learner, has ceased to use its share. It outlasts a partition of
+# an hour.
+CEASE_DISTANT_S: Final = 3900.0
 # Divisor of what a host uses that others may have removed, of limits with a margin
 # for it.
 REMOVED_FACTOR: Final = 4
@@ -46,7 +45,6 @@
     """Why a registration may be deleted."""
 
     STOPPED = "stopped"  # the host has stated that it stops, and did not return
-    OUTVOTED = "outvoted"  # more than half of the voters have removed it
     NOT_RENEWED = "not-renewed"  # it is silent and does not renew its registration
 
 
@@ -54,63 +52,51 @@
     """Tracks the hosts that have a share of the fleet-wide limits."""
 
     __slots__ = (
-        "_added_at",
-        "_confirmed_since",
         "_digest",
+        "_digests",
         "_host",
         "_is_known",
         "_is_released",
         "_listed_at",
-        "_silent_at",
         "_start_delay_s",
         "_updated_at",
         "_usable_from",
-        "_was_kept",
         "_weights",
-        "awaits_list",
-        "contact",
+        "_window_s",
         "divides_by_contact",
         "is_list_outdated",
         "is_stopped",
+        "lease",
         "names",
         "registrations",
         "silences",
         "version",
     )
 
-    def __init__(self, host: str, start_delay_s: float) -> None:
+    def __init__(self, host: str, window_s: float, lifetime_s: float) -> None:
         self._host = host
-        # Time for which requests count that this host may have sent before it
-        # was restarted, or others before they knew of this host.
-        self._start_delay_s = start_delay_s
+        self.set_window(window_s, lifetime_s)
         self._usable_from = math.inf
         self._updated_at = -math.inf
-        self._was_kept = False  # whether the share was kept at the last update
         self._is_known = False  # whether the list of all hosts was read
         self._listed_at = math.inf  # time at which it was read
         # Whether tokens of the share are released before `_usable_from`.
         self._is_released = True
-        # Hosts that had no share reserved, and when they were added to `names`.
-        self._added_at: dict[str, float] = {}
-        # Since when other hosts have been in contact without a break.
-        self._confirmed_since: dict[str, float] = {}
-        self._silent_at = -math.inf  # when some host was silent last
+        # Digests of the lists that other hosts have reported.
+        self._digests: dict[str, int] = {}
         # Weights of the hosts whose capacity is known.
         self._weights: dict[str, float] = {}
         self._digest = 0  # of the registrations at the last update
         self.names: set[str] = {host}  # hosts with a share
         self.version = 0  # changes with `names`
-        self.contact = Contact()
+        self.lease = ShareLease()
         self.registrations = Registrations(host)
         self.silences = Silences(host)
         # Whether another host has told of a newer list of hosts.
         self.is_list_outdated = False
-        # Whether the list has to be read before this host may use its share again.
-        self.awaits_list = False
         # Whether this host has given up its share for good.
         self.is_stopped = False
-        # Whether shares may be lost. Not so in fleets in which a heartbeat
-        # reaches only some of the hosts.
+        # Whether each heartbeat reaches all hosts.
         self.divides_by_contact = True
 
     def update(self, heard_at: Mapping[str, float], complete: bool, now: float) -> None:
@@ -120,30 +106,34 @@
         """
         meshed = self.divides_by_contact
         self.silences.silent_s = SILENT_S if meshed else GOSSIP_SILENT_S
+        self.lease.lease_s = LEASE_S if meshed else GOSSIP_LEASE_S
+        self.lease.has_list = self.registrations.is_read
         self._forget_absent(heard_at)
-        if self.registrations.digest != self._digest:
-            self._digest = self.registrations.digest
-            self.version += 1
         if now - self._updated_at >= SUSPENDED_S:
-            self._restart_observation(now)
+            self.silences.restart(now)
+            self.registrations.restart_observation(now)
         for host, at in heard_at.items():
             if host != self._host:
                 self.silences.record_heard(host, at, now)
-                if host not in self.names and not self.silences.is_silent(host, now):
-                    self._set_names(self.names | {host})
-                    if self._is_known:
-                        self._added_at[host] = now
-        was_suspended = now - self._updated_at >= KEEP_SHARE_S
+        self._set_names(heard_at)
+        was_suspended = now - self._updated_at >= self.lease.lease_s
         self._updated_at = now
         if complete and not self._is_known:
             self._is_known = True
             self._listed_at = now
+        elif complete and was_suspended and not self.registrations.is_read:
+            self._is_released = False
             self._usable_from = now + self._start_delay_s
-        elif complete and was_suspended:
-            self._restart(now)
         if self._is_known:
-            self._check_contact(now)
-            self._remove_silent(now)
+            self._update_lease(now)
+            self._update_start(now)
+
+    def set_window(self, window_s: float, lifetime_s: float) -> None:
+        """Set the window of quotas, and the longest lifetime of a given token."""
+        self._window_s = window_s  # in which requests count against a share
+        # Time for which requests count that this host may have sent before it
+        # was restarted, or others before they knew of this host.
+        self._start_delay_s = window_s + lifetime_s
 
     def record_capacity(self, host: str, capacity_per_s: float) -> None:
         """Record how many requests a host sustains, as it says at first.
@@ -170,53 +160,85 @@
 
     # Reports.
 
-    def record_silences(self, host: str, silences: Mapping[int, float]) -> None:
-        """Record for how long other hosts have been silent, as a host reports.
+    def record_report(
+        self, host: str, report: QuotaReport, extra_s: float | None, now: float
+    ) -> None:
+        """Record what a host says of the others and of the list.
 
-        Zero stands for a host that had no share reserved until lately.
+        `extra_s` is the delay of the heartbeat, beyond the usual one, or None if
+        it is not known.
         """
-        if silences and 0 in silences.values():
-            if silences.get(self.silences.own_number) == 0:
-                self._is_released = False
-            silences = {number: age_s for number, age_s in silences.items() if age_s}
-        self.silences.record_report(host, silences)
-
-    def record_digest(self, digest: int) -> None:
-        """Record which list of hosts another host has."""
-        if self.registrations.is_newer(digest):
+        registrations = self.registrations
+        if registrations.is_newer(report.digest):
             self.is_list_outdated = True
+            is_current = False
+        else:
+            is_current = extra_s is not None
+        at = now - (extra_s or 0.0)
+        self.silences.record_report(host, report.silent, is_current, at, now)
+        self._digests[host] = report.digest
+        if report.digest == registrations.digest:
+            self._record_list_age(report, extra_s, now)
+
+    def confirm_by_list(self, started_at: float) -> None:
+        """Record that this host has read the list, and when it began to."""
+        own = self.registrations.own
+        if own is not None and own.is_safe:
+            self.lease.confirm_by_list(started_at)
 
-    def to_report(self, now: float) -> dict[int, float]:
-        """Return what `record_silences` of other hosts expects.
+    def _record_list_age(
+        self, report: QuotaReport, extra_s: float | None, now: float
+    ) -> None:
+        """Record that another host has found this host's list to be current."""
+        own = self.registrations.own
+        if extra_s is None or own is None:
+            return
+        if self.silences.own_number in report.suspected:
+            # The row has to be read before it can be renewed.
+            self.is_list_outdated |= own.is_safe
+        elif own.is_safe:
+            age_s = extra_s + MAX_LATENCY_S + report.list_age_s
+            self.lease.confirm_by_list(now - age_s)
 
-        A host that reports itself asks not to be counted in a majority.
-        """
-        added = {
-            self.silences.fingerprint(host): 0.0
-            for host, at in self._added_at.items()
-            if now - at < self._start_delay_s
-        }
-        if self.contact.is_uncertain(now):
-            added[self.silences.own_number] = MAX_REPORTED_S
-        return added | self.silences.silent(now)
+    def fill_report(self, report: QuotaReport, now: float) -> None:
+        """State what `record_report` of other hosts expects.
 
-    def has_news(self, now: float) -> bool:
-        """Return whether other hosts need this host's reports."""
-        return now - self._silent_at < REPORT_CALM_S
+        A host that reports itself as silent has no share.
+        """
+        registrations, silences = self.registrations, self.silences
+        report.digest = registrations.digest
+        report.list_age_s = self.lease.list_age_s(now)
+        report.silent = frozenset(silences.silent(now))
+        if self._is_known and not self.lease.is_valid(now):
+            report.silent |= {silences.own_number}
+        report.suspected = frozenset(map(silences.fingerprint, registrations.unsafe()))
 
     # Shares.
 
     def has_share(self, now: float) -> bool:
         """Return whether this host may use its share."""
-        if self.is_stopped or self.awaits_list or now < self._usable_from:
+        if self.is_stopped or now < self._usable_from:
             return False
-        if now - self._updated_at >= KEEP_SHARE_S:
+        if self.registrations.is_read and self.registrations.own is None:
             return False
-        return self._was_kept and self.contact.keeps_share(now)
+        return self.lease.is_valid(now)
+
+    def may_give(self, lifetime_s: float, now: float) -> bool:
+        """Return whether this host has its share for the lifetime of a token."""
+        return self.lease.is_valid(now + lifetime_s)
 
     def is_removed(self, now: float) -> bool:
-        """Return whether others may have divided this host's share."""
-        return not self.contact.keeps_share(now)
+        """Return whether others may soon divide this host's share.
+
+        The budgets that ask for it are counted over a longer time than quotas.
+        """
+        return self.lease.age_s(now) >= min(CAUTION_S, self.lease.lease_s)
+
+    def without_share(self) -> frozenset[str]:
+        """Return the hosts that have no share, as they say and the list shows."""
+        if not self.registrations.is_read:
+            return frozenset()
+        return self.silences.lapsed - self.registrations.hosts
 
     def contact_fraction(self, now: float) -> float:
         """Return which part of the hosts with a share is in contact.
@@ -225,7 +247,7 @@
         """
         fraction = 1.0
         if self.divides_by_contact:
-            in_contact = len(self.names & self._confirmed_since.keys())
+            in_contact = len(self.names & self.silences.confirming(now))
             fraction = (1 + in_contact) / len(self.names)
         return fraction / REMOVED_FACTOR if self.is_removed(now) else fraction
 
@@ -237,31 +259,35 @@
         age_s = now - self._listed_at
         if not self._is_released or self.is_stopped or now >= self._usable_from:
             return None
-        own = self.registrations.own
-        if self.registrations.is_read and (own is None or not own.is_voter):
-            return None  # others may not know it yet
-        if not self.contact.keeps_share(now):
-            return None
-        # At least half of the hosts, and one other, have had the chance to say
-        # that no share was reserved.
-        reporting = len(self.names.intersection(self.silences.reporting()))
-        if 2 * (1 + reporting) < len(self.names):
-            return None
-        if age_s < RELEASE_AFTER_S or not (reporting or len(self.names) == 1):
+        if age_s < RELEASE_AFTER_S or not self.lease.is_valid(now):
             return None
+        if self.registrations.is_read and self._is_learner:
+            return None  # others may not know it yet
         return age_s
 
     # Registrations.
 
+    def begin_as_learner(self) -> None:
+        """Begin without a share, as other hosts do not know this one."""
+        self._is_released = False
+        self._usable_from = math.inf
+        self._digests.clear()
+        self.registrations.has_departed = False
+
     def is_promotable(self) -> bool:
-        """Return whether this host may become a voter."""
-        own, voters = self.registrations.own, self.registrations.voters
-        if own is None or own.is_voter:
-            return False
-        now = self._updated_at
-        return 2 * self._count_support(self.silences.confirming(now), voters) > len(
-            voters
-        )
+        """Return whether this host may become established."""
+        return self._is_learner and self._updated_at >= self._usable_from
+
+    def suspects(self, now: float) -> list[str]:
+        """Return the hosts whose registrations are to be marked."""
+        return [
+            row.host
+            for row in self.registrations.others()
+            if row.is_safe
+            and not row.is_stopped
+            and self.silences.is_silent(row.host, now)
+            and now - row.unchanged_since >= SUSPECT_AGAIN_S
+        ]
 
     def removable(self, now: float) -> dict[str, Removal]:
         """Return the hosts whose registrations this host may delete, and why."""
@@ -279,151 +305,116 @@
     def _find_removal(self, row: Registration, now: float) -> Removal | None:
         if row.is_stopped and now - row.stopped_since >= self._start_delay_s:
             return Removal.STOPPED
-        silent_s = self.silences.silence_s(row.host, now)
-        if row.host not in self.names and silent_s >= REMOVE_S:
-            return Removal.OUTVOTED
-        remove_s = self._remove_after_s(row)
-        is_due = min(silent_s, now - row.unchanged_since) >= remove_s
-        if is_due and self._all_miss(row.host, remove_s, now):
-            return Removal.NOT_RENEWED
-        return None
-
-    def _remove_after_s(self, row: Registration) -> float:
-        """Return the silence after which this host may remove another."""
-        own = self.registrations.own
-        is_voter = own is not None and own.is_voter
-        if self._is_neighbour(row.host):
-            remove_s = REMOVE_S if is_voter else REMOVE_BY_LEARNER_S
-        else:
-            remove_s = REMOVE_DISTANT_S if is_voter else REMOVE_DISTANT_BY_LEARNER_S
-        return remove_s if self.divides_by_contact else remove_s * GOSSIP_REMOVE_FACTOR
-
-    def _all_miss(self, host: str, least_s: float, now: float) -> bool:
-        """Return whether no host in contact hears another."""
-        if not self.divides_by_contact:
-            return True  # the relayed heartbeats of the host would reach this one
-        return self.silences.all_miss(host, least_s, now)
-
-    def confirm_list(self, now: float) -> None:
-        """Record that this host has read the list, which has its registration."""
-        if self.awaits_list:
-            self.awaits_list = False
-            self._usable_from = now + self._start_delay_s
-
-    # Contact.
-
-    def _forget_absent(self, heard_at: Mapping[str, float]) -> None:
-        """Forget hosts that are not members any more."""
-        absent = self.silences.forget_absent(heard_at.keys())
-        if not absent:
-            return
-        for host in absent:
-            self._weights.pop(host, None)
-            self._added_at.pop(host, None)
-        self._set_names(self.names - absent)
+        # Requests that it has sent count for a window.
+        ceased = self._has_ceased(row, now - self._window_s)
+        return Removal.NOT_RENEWED if ceased else None
+
+    def _has_ceased(self, row: Registration, at: float) -> bool:
+        """Return whether a host had certainly ceased to use its share at a time."""
+        is_silent = self.silences.silence_s(row.host, at) >= self._cease_after_s(row)
+        is_marked = row.is_suspected and (
+            at - row.unchanged_since >= self.lease.lease_s
+        )
+        return is_silent and is_marked
 
-    def _restart(self, now: float) -> None:
-        """Begin without a share, which others may have used in the meantime.
+    def _cease_after_s(self, row: Registration) -> float:
+        """Return the silence after which another host has ceased to use its share.
 
-        Others may also have deleted the registration of this host, and hosts may
-        have joined that do not know it.
+        The last heartbeat that the other one has received from this host may be by
+        `silent_s` younger than the last one that it has sent to it.
         """
-        self._is_released = False
-        self._usable_from = now + self._start_delay_s
-        self.awaits_list = self.registrations.is_read
+        if self._may_be_unknown_to(row):
+            return CEASE_DISTANT_S
+        return self.silences.silent_s + MAX_LATENCY_S + self.lease.lease_s
 
-    def _restart_observation(self, now: float) -> None:
-        self.silences.restart(now)
-        self.registrations.restart_observation(now)
+    def _may_be_unknown_to(self, row: Registration) -> bool:
+        """Return whether a host may use its share without knowing of this one.
 
-    def _voters(self) -> set[str]:
-        """Return the hosts with a share that have a vote."""
-        if not self.registrations.is_read:
-            return self.names
-        return (self.names & self.registrations.voters) or self.names
-
-    def _count_support(self, hosts: set[str], voters: frozenset[str] | set[str]) -> int:
-        """Count the voters among some hosts and this one."""
-        return len(hosts & voters) + (self._host in voters)
+        It has read the list, as others in contact with it have, unless its region is
+        cut off. If an established host has gone, it misses that one.
+        """
+        if not row.is_established or not self._is_learner:
+            return False
+        registrations = self.registrations
+        is_neighbour = row.region == registrations.own_region
+        return not is_neighbour and not registrations.has_departed
 
-    def _check_contact(self, now: float) -> None:
-        confirming, voters = self.silences.confirming(now), self._voters()
-        self._confirmed_since = {
-            host: self._confirmed_since.get(host, now) for host in confirming
-        }
-        certain = set(filter(self.silences.is_certain, confirming))
-        is_meshed = self.divides_by_contact
-        majority = 2 * self._count_support(certain, voters) >= len(voters)
-        reachable = 2 * self._count_support(confirming, voters) >= len(voters)
-        missing = self.registrations.hosts - confirming - {self._host}
-        if not is_meshed:
-            # A heartbeat of each host may take a minute to arrive for the first time.
-            missing = frozenset(filter(self.silences.was_heard, missing))
-        kept = self._was_kept and self.contact.keeps_share(now)
-        self.contact.update(
-            majority or not is_meshed,
-            reachable or not is_meshed,
-            not any(map(self._is_neighbour, missing)),
-            not missing,
-            now,
-        )
-        self._was_kept = self.contact.keeps_share(now)
-        if self._was_kept and not kept:
-            self._handle_contact(now)
+    # Contact.
 
-    def _handle_contact(self, now: float) -> None:
-        """Handle contact after a time without it, or for the first time."""
+    @property
+    def _is_learner(self) -> bool:
+        """Return whether other hosts may not know this one."""
         own = self.registrations.own
-        if now >= self._usable_from:
-            if not self._is_known_to_all(now):
-                self._restart(now)
-        elif own is not None and not own.is_voter:
-            # Others had no share reserved for this host until they heard it.
-            self._usable_from = now + self._start_delay_s
+        if own is None:
+            return self.registrations.is_read
+        return not own.is_established
+
+    def _listed_others(self) -> frozenset[str] | set[str]:
+        """Return the other hosts with a share."""
+        return self.names - {self._host}
+
+    def _set_names(self, heard_at: Mapping[str, float]) -> None:
+        """Set the hosts with a share; without a list, those that are known."""
+        listed = self.registrations.hosts
+        known = listed if self.registrations.is_read else heard_at.keys()
+        names = {self._host, *known}
+        if names != self.names or self.registrations.digest != self._digest:
+            self._digest = self.registrations.digest
+            self.names = names
+            self.version += 1
 
-    def _is_known_to_all(self, now: float) -> bool:
-        """Return whether all hosts with a share have reserved that of this host.
+    def _forget_absent(self, heard_at: Mapping[str, float]) -> None:
+        """Forget hosts that are not members any more."""
+        for host in self.silences.forget_absent(heard_at.keys()):
+            self._weights.pop(host, None)
+            self._digests.pop(host, None)
 
-        So it is when others were removed that this host was waiting for.
-        """
-        if self.is_list_outdated or self._host not in self.registrations.hosts:
-            return False
-        return all(
-            now - self._confirmed_since.get(host, now) >= self._start_delay_s
-            for host in self.names - {self._host}
-        )
+    def _update_lease(self, now: float) -> None:
+        """Record the confirmations by other hosts.
 
-    def _is_neighbour(self, host: str) -> bool:
-        """Return whether a host is registered in this host's region."""
-        row = self.registrations.get(host)
-        return row is not None and row.region == self.registrations.own_region
-
-    def _remove_silent(self, now: float) -> None:
-        silences = self.silences
-        own = silences.silent(now)
-        if own:
-            self._silent_at = now
-        if not self.divides_by_contact or max(own.values(), default=0.0) < REMOVE_S:
+        Hosts that this one does not know may suspect a learner.
+        """
+        others = self._listed_others()
+        if not (self.registrations.is_read and self._is_learner):
+            if self.divides_by_contact:
+                at = self.silences.confirmed_at(others, now)
+            else:
+                at = self.silences.heard_at(others, now)
+            self.lease.confirm_by_peers(at, now)
+        if not self.lease.is_valid(now):
+            # All hosts may have lost their shares for want of the store.
+            self.silences.restart_lapsed(now)
+
+    def _update_start(self, now: float) -> None:
+        """Decide from when on this host may use its share.
+
+        If it is new, other hosts may use larger shares until they know of it. A host
+        that has read the new list does not confirm one that has not, which therefore
+        has to read it, too, or ceases to use its share.
+        """
+        if not self._is_learner:
+            if math.isinf(self._usable_from):
+                self._usable_from = now + self._start_delay_s
             return
-        voters = self._voters()
-        heard = [host for host in silences.heard(now) if host in voters]
-        reports = [
-            silences.reported_by(host) for host in heard if silences.is_certain(host)
-        ]
-        if self._host in voters and not self.contact.is_uncertain(now):
-            reports.append(own)
-        silent = {
-            host
-            for host in self.names
-            if own.get(silences.fingerprint(host), 0.0) >= REMOVE_S
-            and 2 * _votes(silences.fingerprint(host), reports) > len(voters)
+        registrations = self.registrations
+        if registrations.own is None:
+            return
+        told = registrations.answered | {
+            host for host, digest in self._digests.items() if digest == self._digest
         }
-        if silent:
-            self._set_names(self.names - silent)
-
-    def _set_names(self, names: set[str]) -> None:
-        self.names = names
-        self.version += 1
+        rows = registrations.others()
+        registrations.has_departed |= any(
+            row.is_established and self._has_ceased(row, now) for row in rows
+        )
+        is_told = any(row.is_established and row.host in told for row in rows)
+        if all(row.host in told or self._has_ceased(row, now) for row in rows):
+            usable_from = now + self._start_delay_s
+        elif is_told or not registrations.has_established:
+            lease_s = self.lease.lease_s + MAX_LATENCY_S
+            usable_from = now + lease_s + self._start_delay_s
+        else:
+            return
+        self._usable_from = min(self._usable_from, usable_from)
 
 
 def weight_of(capacity_per_s: float) -> float:
@@ -435,7 +426,3 @@
     if not 0.0 < capacity_per_s < math.inf:
         return 0.0
     return 2.0 ** math.floor(math.log2(capacity_per_s))
-
-
-def _votes(host: int, reports: list[Mapping[int, float]]) -> int:
-    return sum(silences.get(host, 0.0) >= REMOVE_S for silences in reports)
--- a/samphirebend/gateway/quotareports.py
+++ b/samphirebend/gateway/quotareports.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Mapping
 from typing import Final
 
-MAX_SILENCES: Final = 64  # silent hosts in one heartbeat
+MAX_NOTES: Final = 64  # hosts that are silent or suspected, in one heartbeat
 MAX_WANTS: Final = 60
 MAX_GIFTS: Final = 120
 _TIME_RANGE_MS: Final = 2**32
 _RATE_STEP_PER_S: Final = 1 / 16
 _LIFETIME_STEP_S: Final = 0.05
-# Time of sending, digest of the list of hosts, counts of the parts.
-_HEAD: Final = struct.Struct("<IIBBB")
-_SILENCE: Final = struct.Struct("<IB")  # host, seconds; see `QuotaHosts`
+_LIST_AGE_STEP_S: Final = 0.1
+_NO_LIST_AGE: Final = 255
+# Time of sending, digest and age of the list of hosts, counts of the parts.
+_HEAD: Final = struct.Struct("<IIBBBB")
+_NOTE: Final = struct.Struct("<IB")  # host, bits of what is said of it
+_IS_SILENT: Final = 1
+_IS_SUSPECTED: Final = 2
 _WANT: Final = struct.Struct("<IH")  # customer, rate
 _GIFT: Final = struct.Struct("<IIHB")  # customer, host, tokens, lifetime
 
@@ -36,13 +41,26 @@
 class QuotaReport:
     """What one heartbeat says about quotas."""
 
-    __slots__ = ("digest", "gifts", "sent_at", "silences", "wants")
+    __slots__ = (
+        "digest",
+        "gifts",
+        "list_age_s",
+        "sent_at",
+        "silent",
+        "suspected",
+        "wants",
+    )
 
     def __init__(self, sent_at: float) -> None:
         self.sent_at = sent_at  # by the sender's clock, modulo 2^32 ms
         # Of the list of hosts that the sender knows; 0: it knows none.
         self.digest = 0
-        self.silences: Mapping[int, float] = {}  # seconds, by host
+        # Time since that list was known to be current; infinite: for long.
+        self.list_age_s = math.inf
+        # Hosts that the sender does not hear, and those whose registrations may be
+        # deleted, by their fingerprints.
+        self.silent: frozenset[int] = frozenset()
+        self.suspected: frozenset[int] = frozenset()
         # Rate of tokens that the sender needs in addition, by customer.
         self.wants: Mapping[int, float] = {}
         self.gifts: list[Gift] = []
@@ -50,13 +68,17 @@
 
 def encode_report(report: QuotaReport) -> bytes:
     """Return the encoded report; parts that are too long are cut off."""
-    silences = list(report.silences.items())[:MAX_SILENCES]
+    notes = _notes(report)
+    # A suspected host that is left out would rely on the age of the list.
+    is_whole = len(notes) <= MAX_NOTES
+    list_age = _encode_list_age(report.list_age_s) if is_whole else _NO_LIST_AGE
+    notes = notes[:MAX_NOTES]
     wants = list(report.wants.items())[:MAX_WANTS]
     gifts = report.gifts[:MAX_GIFTS]
     sent_ms = round(report.sent_at * 1000) % _TIME_RANGE_MS
-    counts = len(silences), len(wants), len(gifts)
-    parts = [_HEAD.pack(sent_ms, report.digest, *counts)]
-    parts += [_SILENCE.pack(host, min(255, int(age_s))) for host, age_s in silences]
+    counts = len(notes), len(wants), len(gifts)
+    parts = [_HEAD.pack(sent_ms, report.digest, list_age, *counts)]
+    parts += [_NOTE.pack(host, bits) for host, bits in notes]
     parts += [
         _WANT.pack(customer, min(65535, round(per_s / _RATE_STEP_PER_S)))
         for customer, per_s in wants
@@ -73,19 +95,45 @@
     return b"".join(parts)
 
 
+def _notes(report: QuotaReport) -> list[tuple[int, int]]:
+    """Return what is said of each host, as bits."""
+    return [
+        (
+            host,
+            _IS_SILENT * (host in report.silent)
+            + _IS_SUSPECTED * (host in report.suspected),
+        )
+        for host in [*report.suspected, *(report.silent - report.suspected)]
+    ]
+
+
+def _encode_list_age(age_s: float) -> int:
+    """Return the age in steps, rounded up."""
+    if age_s >= _NO_LIST_AGE * _LIST_AGE_STEP_S:
+        return _NO_LIST_AGE
+    return math.ceil(max(0.0, age_s) / _LIST_AGE_STEP_S)
+
+
 def decode_report(data: bytes) -> QuotaReport | None:
     """Return the report of a heartbeat, or None if it is absent or damaged."""
     if len(data) < _HEAD.size:
         return None
-    sent_ms, digest, silence_count, want_count, gift_count = _HEAD.unpack_from(data)
-    wants_at = _HEAD.size + silence_count * _SILENCE.size
+    sent_ms, digest, list_age, *counts = _HEAD.unpack_from(data)
+    note_count, want_count, gift_count = counts
+    wants_at = _HEAD.size + note_count * _NOTE.size
     gifts_at = wants_at + want_count * _WANT.size
     if len(data) != gifts_at + gift_count * _GIFT.size:
         return None
     report = QuotaReport(sent_ms / 1000)
     report.digest = digest
-    if silence_count:
-        report.silences = dict(_SILENCE.iter_unpack(data[_HEAD.size : wants_at]))
+    if list_age != _NO_LIST_AGE:
+        report.list_age_s = list_age * _LIST_AGE_STEP_S
+    if note_count:
+        notes = list(_NOTE.iter_unpack(data[_HEAD.size : wants_at]))
+        report.silent = frozenset(host for host, bits in notes if bits & _IS_SILENT)
+        report.suspected = frozenset(
+            host for host, bits in notes if bits & _IS_SUSPECTED
+        )
     if not want_count and not gift_count:
         return report
     report.wants = {
--- a/samphirebend/gateway/quotas.py
+++ b/samphirebend/gateway/quotas.py
@@ -204,7 +204,7 @@
         self._delays: dict[str, DelayTracker] = {}
         self._new_at: dict[str, float] = {}  # when hosts were heard after a start
         self._round_at: float | None = None  # time of the last heartbeat
-        self.hosts = QuotaHosts(host, window_s + MAX_LIFETIME_S)
+        self.hosts = QuotaHosts(host, window_s, MAX_LIFETIME_S)
         # Counters; the first is keyed by customer.
         self.refused: dict[str, int] = {}
         self.tokens_given = 0
@@ -213,6 +213,7 @@
     def set_bounds(self, window_s: float, over: float, slack: float) -> None:
         """Replace the bounds of all quotas."""
         self._window_s, self._over, self._slack = window_s, over, slack
+        self.hosts.set_window(window_s, MAX_LIFETIME_S)
         self._limits_version += 1
 
     def set_limits(self, limits: Mapping[str, QuotaLimit], now: float) -> None:
@@ -342,11 +343,8 @@
 
         Tokens that it transfers are charged at once.
         """
-        if not self._limits and not self.hosts.has_news(now):
-            return b""
         report = QuotaReport(now)
-        report.digest = self.hosts.registrations.digest
-        report.silences = self.hosts.to_report(now)
+        self.hosts.fill_report(report, now)
         since = self._round_at if self._round_at is not None else now
         interval_s = min(MAX_ROUND_S, now - since)
         self._round_at = now
@@ -369,8 +367,6 @@
         report = decode_report(data)
         if report is None:
             return
-        self.hosts.record_silences(host, report.silences)
-        self.hosts.record_digest(report.digest)
         for number, customer in self._by_fingerprint.items():
             account = self._accounts[customer]
             if number in report.wants:
@@ -381,6 +377,7 @@
         if delay.is_new(incarnation):
             self._new_at[host] = now
         extra_s = delay.extra_s(incarnation, report.sent_at, now)
+        self.hosts.record_report(host, report, extra_s, now)
         if extra_s is None:
             return
         for gift in report.gifts:
@@ -418,11 +415,13 @@
             for host, want in account.wants.fresh(now).items()
             if want > GIVE_RATIO * demand or (has_spare and self._is_new(host, now))
         }
-        if not wants:
+        # A token must not outlive the share that it is taken from.
+        latest_s = MAX_LIFETIME_S + MAX_USUAL_LATENCY_S
+        if not wants or not self.hosts.may_give(latest_s, now):
             return []
         free = self._free(account, 0.0, now)
         reserve = RESERVE_S * demand + 0.5 * math.sqrt(demand)
-        givers = max(1, len(self.hosts.silences.heard(now)) + 1 - len(wants))
+        givers = max(1, self.hosts.silences.heard_count(now) + 1 - len(wants))
         most = GIVE_PACE * share / self._window_s * interval_s
         asked = sum(wants.values()) * interval_s / givers
         if share <= SMALL_SHARE:
--- a/samphirebend/gateway/registrations.py
+++ b/samphirebend/gateway/registrations.py
@@ -20,8 +20,8 @@
 from .observations import fingerprint
 
 # Time after a restore of the store for which registrations are kept that the
-# backup lacks. Their hosts register again.
-KEEP_LOST_S: Final = 35.0
+# backup lacks. Their hosts register again, or have ceased to use their shares.
+KEEP_LOST_S: Final = 12.5
 # Earlier states of the list that are recognized in other hosts' heartbeats.
 MAX_EARLIER_DIGESTS: Final = 64
 
@@ -31,9 +31,11 @@
 
     __slots__ = (
         "host",
+        "is_established",
         "is_stopped",
-        "is_voter",
+        "is_suspected",
         "lost_at",
+        "number",
         "region",
         "stopped_since",
         "unchanged_since",
@@ -46,19 +48,25 @@
         host: str,
         region: str,
         version: int,
-        is_voter: bool,
+        is_established: bool,
         is_stopped: bool,
         weight: float = 0.0,
+        is_suspected: bool = False,
+        number: int = 0,
     ) -> None:
         self.host = host
         self.region = region
         self.version = version
-        self.is_voter = is_voter
+        self.is_established = is_established
         # Part of the quotas, relative to that of other hosts; 0: not stated. It does
         # not change while the host is registered.
         self.weight = weight
+        # Drawn when the host registers, and kept when it writes the row again.
+        self.number = number
         # Whether the host has stated that it stops and uses no share any more.
         self.is_stopped = is_stopped
+        # Whether another host has marked it, to delete it later.
+        self.is_suspected = is_suspected
         # When this version, and a stopped one, was first seen.
         self.unchanged_since = 0.0
         self.stopped_since = math.inf
@@ -70,6 +78,11 @@
         """Return whether a restore of the store has lost the row."""
         return not math.isinf(self.lost_at)
 
+    @property
+    def is_safe(self) -> bool:
+        """Return whether others keep the share that goes with this row."""
+        return not self.is_suspected and not self.is_lost
+
 
 class Registrations:
     """The registrations of all hosts."""
@@ -77,12 +90,14 @@
     __slots__ = (
         "_earlier",
         "_host",
+        "_registered_at",
         "_rows",
+        "answered",
         "digest",
+        "has_departed",
         "hosts",
         "is_read",
         "version",
-        "voters",
     )
 
     def __init__(self, host: str) -> None:
@@ -92,8 +107,15 @@
         self.is_read = False  # whether the list has been read
         self.version = 0  # version of the table up to which this is complete
         self.hosts: frozenset[str] = frozenset()  # all registered hosts
-        self.voters: frozenset[str] = frozenset()
-        # Of hosts, voters and weights. Stops are left out, as most hosts return.
+        self._registered_at = 0  # version at which this host has registered
+        # Hosts that have renewed a row that was marked after that. They have read
+        # the list to know of it, and so know this host.
+        self.answered: set[str] = set()
+        # Whether an established host has ceased to use its share since this one has
+        # registered.
+        self.has_departed = False
+        # Of hosts and weights, by which shares are divided. A host that was removed
+        # and has registered again makes a new list, which others have to read.
         self.digest = 0
 
     @property
@@ -101,6 +123,11 @@
         """Return this host's registration, or None if it has none."""
         return self._rows.get(self._host)
 
+    @property
+    def has_established(self) -> bool:
+        """Return whether some host is established."""
+        return any(row.is_established for row in self._rows.values())
+
     @property
     def own_region(self) -> str:
         """Return this host's region, or the empty text if it is not registered."""
@@ -118,6 +145,10 @@
         """Return the registrations of the other hosts."""
         return [row for host, row in self._rows.items() if host != self._host]
 
+    def unsafe(self) -> list[str]:
+        """Return the hosts whose registrations may end."""
+        return [host for host, row in self._rows.items() if not row.is_safe]
+
     def replace(self, rows: Iterable[Registration], version: int, now: float) -> None:
         """Replace all registrations by a snapshot of the table."""
         present = {row.host: row for row in rows}
@@ -126,7 +157,7 @@
             if is_restored:
                 self._rows[host].lost_at = min(self._rows[host].lost_at, now)
             else:
-                del self._rows[host]
+                self._drop(host)
         for row in present.values():
             self._put(row, now)
         self.is_read = True
@@ -141,14 +172,14 @@
     ) -> None:
         """Apply changes of the table up to a version."""
         for host in deleted:
-            self._rows.pop(host, None)
+            self._drop(host)
         for row in changed:
             self._put(row, now)
         self._finish(version)
 
     def delete(self, host: str) -> None:
         """Delete the registration of a host whose row was deleted."""
-        self._rows.pop(host, None)
+        self._drop(host)
         self._finish(self.version)
 
     def drop_lost(self, now: float) -> None:
@@ -168,6 +199,11 @@
         """Return whether another host's digest is of a state not known here."""
         return bool(digest) and digest != self.digest and digest not in self._earlier
 
+    def _drop(self, host: str) -> None:
+        row = self._rows.pop(host, None)
+        self.answered.discard(host)
+        self.has_departed |= row is not None and row.is_established
+
     def _put(self, row: Registration, now: float) -> None:
         known = self._rows.get(row.host)
         if known is not None and known.version == row.version:
@@ -175,17 +211,25 @@
         row.unchanged_since = now
         if row.is_stopped:
             row.stopped_since = now
+        if row.host == self._host:
+            if known is None or known.number != row.number:
+                self._registered_at = row.version
+                self.answered.clear()
+        elif known is not None and self._is_answer(known, row):
+            self.answered.add(row.host)
         self._rows[row.host] = row
 
+    def _is_answer(self, known: Registration, row: Registration) -> bool:
+        """Return whether a host has read the list since this one has registered."""
+        is_renewed = known.is_suspected and not row.is_suspected
+        return is_renewed and known.version > self._registered_at
+
     def _finish(self, version: int) -> None:
         self.version = version
-        voters = frozenset(host for host, row in self._rows.items() if row.is_voter)
-        # At the first start of a fleet all hosts are learners.
         self.hosts = frozenset(self._rows)
-        self.voters = voters or self.hosts
         digest = 0
         for host, row in self._rows.items():
-            digest ^= fingerprint(f"{host} {row.is_voter} {row.weight}")
+            digest ^= fingerprint(f"{host} {row.number} {row.weight}")
         if digest != self.digest:
             self._earlier.append(self.digest)
             self.digest = digest
--- a/samphirebend/gateway/silences.py
+++ b/samphirebend/gateway/silences.py
@@ -1,12 +1,13 @@
 """Tracks which other hosts are in contact, and what they say of each other.
 
 Hosts report in their heartbeats which others are silent to them. A host reports
-itself if it asks not to be counted in a majority (see `contact`).
+itself if it may not use its share, so that the others divide it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+import math
+from collections.abc import Collection, Iterable
 from typing import Final
 
 from .observations import fingerprint
@@ -16,18 +17,19 @@
 SILENT_S: Final = 2.0
 # The same where most heartbeats are relayed.
 GOSSIP_SILENT_S: Final = 10.0
-# Highest age in a report.
-MAX_REPORTED_S: Final = 255
-_NO_REPORT: Final[Mapping[int, float]] = {}
+_NO_REPORT: Final[frozenset[int]] = frozenset()
 
 
 class Silences:
     """Heartbeats and reports of the other hosts, by the names of the hosts."""
 
     __slots__ = (
+        "_accused_at",
+        "_confirmed_at",
         "_fingerprints",
         "_heard_at",
         "_host",
+        "_lapsed_since",
         "_reports",
         "_silent_since",
         "silent_s",
@@ -40,8 +42,14 @@
         # Times from which silence is counted: the last heartbeat, or later, when this
         # process learned of the host or was suspended.
         self._silent_since: dict[str, float] = {}
-        # Silent hosts that a host has reported, by their fingerprints.
-        self._reports: dict[str, Mapping[int, float]] = {}
+        # Since when hosts report that they may not use their share.
+        self._lapsed_since: dict[str, float] = {}
+        # Hosts that each host reports as silent, by their fingerprints.
+        self._reports: dict[str, frozenset[int]] = {}
+        # When hosts sent their last report that they hear this host.
+        self._confirmed_at: dict[str, float] = {}
+        # When some host reported last that it does not hear this host.
+        self._accused_at = -math.inf
         self.silent_s = SILENT_S  # time without a heartbeat
 
     def fingerprint(self, host: str) -> int:
@@ -66,74 +74,104 @@
             self._heard_at[host] = max(self._heard_at.get(host, at), at)
 
     def restart(self, now: float) -> None:
-        """Count silence from now on, as this host was suspended."""
+        """Count silence from now on, as this host could not hear others."""
         for host in self._silent_since:
             self._silent_since[host] = now
+        self.restart_lapsed(now)
+
+    def restart_lapsed(self, now: float) -> None:
+        """Count from now on for how long hosts may not use their shares."""
+        for host in self._lapsed_since:
+            self._lapsed_since[host] = now
 
     def forget_absent(self, hosts: Collection[str]) -> set[str]:
         """Forget all hosts but the given ones and this one; return them."""
         absent = self._silent_since.keys() - hosts
         for host in absent:
-            self._heard_at.pop(host, None)
-            self._silent_since.pop(host, None)
-            self._reports.pop(host, None)
-            self._fingerprints.pop(host, None)
+            for kept in (
+                self._heard_at,
+                self._silent_since,
+                self._lapsed_since,
+                self._reports,
+                self._confirmed_at,
+                self._fingerprints,
+            ):
+                kept.pop(host, None)
         return absent
 
-    def was_heard(self, host: str) -> bool:
-        """Return whether a heartbeat of a host has arrived."""
-        return host in self._heard_at
-
-    def heard(self, now: float) -> list[str]:
-        """Return the hosts that are in contact."""
-        silent_s = self.silent_s
-        return [host for host, at in self._heard_at.items() if now - at < silent_s]
+    def heard_count(self, now: float) -> int:
+        """Return how many hosts are in contact."""
+        return sum(now - at < self.silent_s for at in self._heard_at.values())
 
     def silence_s(self, host: str, now: float) -> float:
-        """Return for how long a host has been silent; 0 for an unknown one."""
-        return now - self._silent_since.get(host, now)
+        """Return for how long a host has been silent; 0 for an unknown one.
+
+        One that may not use its share counts as silent since it has said so.
+        """
+        since = self._silent_since.get(host, now)
+        return now - min(since, self._lapsed_since.get(host, now))
 
     def is_silent(self, host: str, now: float) -> bool:
         """Return whether a host is not in contact."""
         return self.silence_s(host, now) >= self.silent_s
 
-    def silent(self, now: float) -> dict[int, float]:
-        """Return the times for which hosts have been silent, by fingerprint."""
-        silent_s = self.silent_s
+    def silent(self, now: float) -> set[int]:
+        """Return the fingerprints of the hosts that are not in contact."""
         return {
-            self.fingerprint(host): now - since
-            for host, since in self._silent_since.items()
-            if now - since >= silent_s
+            self.fingerprint(host)
+            for host in self._silent_since
+            if self.is_silent(host, now)
         }
 
     # Reports.
 
-    def record_report(self, host: str, silences: Mapping[int, float]) -> None:
-        """Replace what a host reports."""
-        self._reports[host] = silences
+    def record_report(
+        self, host: str, silent: frozenset[int], is_current: bool, at: float, now: float
+    ) -> None:
+        """Replace what a host has reported at some time.
+
+        `is_current` tells whether this host knows the list of hosts that it has.
+        """
+        self._reports[host] = silent
+        if self.own_number in silent:
+            self._accused_at = now
+        elif is_current:
+            self._confirmed_at[host] = max(self._confirmed_at.get(host, at), at)
+        if self.fingerprint(host) in silent:
+            self._lapsed_since.setdefault(host, now)
+        else:
+            self._lapsed_since.pop(host, None)
+
+    @property
+    def lapsed(self) -> frozenset[str]:
+        """Return the hosts that report that they may not use their share."""
+        return frozenset(self._lapsed_since)
 
-    def reported_by(self, host: str) -> Mapping[int, float]:
+    def reported_by(self, host: str) -> frozenset[int]:
         """Return the silent hosts that a host has reported, by fingerprint."""
         return self._reports.get(host, _NO_REPORT)
 
-    def reporting(self) -> Collection[str]:
-        """Return the hosts that have sent a report."""
-        return self._reports.keys()
+    def confirmed_at(self, hosts: Iterable[str], default: float) -> float:
+        """Return the time as of which all of some hosts have confirmed this one."""
+        confirmed = self._confirmed_at
+        return min((confirmed.get(host, -math.inf) for host in hosts), default=default)
+
+    def heard_at(self, hosts: Iterable[str], now: float) -> float:
+        """Return the time as of which all of some hosts were heard.
+
+        Hosts that were never heard are left out. While others miss this host, it
+        was not heard itself.
+        """
+        if now - self._accused_at < self.silent_s:
+            return -math.inf
+        heard = (self._heard_at[host] for host in hosts if host in self._heard_at)
+        return min(heard, default=now)
 
     def confirming(self, now: float) -> set[str]:
         """Return the hosts in contact that also hear this host."""
-        own = self.own_number
-        return {host for host in self.heard(now) if own not in self.reported_by(host)}
-
-    def is_certain(self, host: str) -> bool:
-        """Return whether a host may count in a majority."""
-        reported = self.reported_by(host)
-        return not reported or self.fingerprint(host) not in reported
-
-    def all_miss(self, host: str, least_s: float, now: float) -> bool:
-        """Return whether all hosts in contact report a host as silent for a time."""
-        number, least_s = self.fingerprint(host), min(least_s, MAX_REPORTED_S)
-        return all(
-            self.reported_by(other).get(number, 0.0) >= least_s
-            for other in self.heard(now)
-        )
+        own, silent_s = self.own_number, self.silent_s
+        return {
+            host
+            for host, at in self._heard_at.items()
+            if now - at < silent_s and own not in self.reported_by(host)
+        }
