Let a host that hears no other register and take part by the store alone

Callers of a host with the store got 429 for good: its registration had been deleted while it was cut off, and it waited for other hosts to hear it.

Cause: `_replace_missing` registered only in contact with others. Once it did, the host could not learn whether the others knew it, as nothing but their heartbeats could tell.

Change: it registers as soon as it has the store. A host that has renewed a marked row has read the list, and so knows all that were in it; learners read the list each second until they are known by all.

--- a/samphirebend/gateway/hostlist.py
+++ b/samphirebend/gateway/hostlist.py
@@ -208,7 +208,7 @@
             return False
         if hosts.registrations.own is None:
             return since_s >= REFRESH_MISSING_S
-        if self._needs_confirmation(now):
+        if self._needs_confirmation(now) or hosts.awaits_others:
             return True
         if self._has_failed:
             return since_s >= REFRESH_FAILED_CALM_S
@@ -290,18 +290,11 @@
             await self._delete(host, removal)
 
     async def _replace_missing(self) -> None:
-        """Register again: others have removed this host, or a restore lost its row.
-
-        A host that is still cut off waits, as a share would be reserved for it.
-        """
-        hosts = self._hosts
-        hears_any = hosts.silences.heard_count(self._clock())
-        if hosts.registrations.hosts and not hears_any:
-            return
+        """Register again: others have removed this host, or a restore lost its row."""
         logger.warning(
             "registration of this host is missing",
             event="registration_missing",
-            version=hosts.registrations.version,
+            version=self._hosts.registrations.version,
         )
         await self._register()
 
--- a/samphirebend/gateway/quotahosts.py
+++ b/samphirebend/gateway/quotahosts.py
@@ -274,6 +274,11 @@
         self._digests.clear()
         self.registrations.has_departed = False
 
+    @property
+    def awaits_others(self) -> bool:
+        """Return whether this host has no share until others know it."""
+        return self._is_learner and math.isinf(self._usable_from)
+
     def is_promotable(self) -> bool:
         """Return whether this host may become established."""
         return self._is_learner and self._updated_at >= self._usable_from
--- a/tests/unit/gateway/test_divided_limits.py
+++ b/tests/unit/gateway/test_divided_limits.py
@@ -244,6 +244,18 @@
     check(fleet)
 
 
+def test_removed_host_that_hears_no_other_registers_again() -> None:
+    """Guards a host with the store against waiting for hosts that it cannot hear."""
+    fleet = Fleet(SEVEN, USUAL)
+    fleet.run(SETTLE_S)
+    fleet.cut("h6", store=False)
+    fleet.run(30.0)
+    assert "h6" not in fleet.store.present()
+    fleet.store.refused.clear()
+    check(fleet)
+    assert "h6" in fleet.store.present()
+
+
 def test_store_that_is_away_stops_no_host() -> None:
     """Guards against shares that end while all hosts are in contact."""
     fleet = Fleet(SEVEN, USUAL)
